--- /dev/null
+++ b/tests/core/test_cbor.cpp
@@ -0,0 +1,40 @@
+#include "core/cbor.h"
+#include "tests/story.h"
+
+#include <rapidcheck.h>
+
+using namespace cowslipline;
+
+TEST_GROUP(cbor){};
+
+// Guards against bytes from outside that end the process: the library throws
+// for excessive lengths even without exceptions, and recurses for each level.
+TEST(cbor, SurvivesHostileBytes)
+{
+  SECTION("an object of excessive length")
+  {
+    CHECK(DecodeCbor("\xBB"
+                     "aaaaaaaa")
+            .error() == errc::MessageMalformed);
+  }
+  SECTION("arrays nested a million levels deep")
+  {
+    CHECK(!DecodeCbor(std::string(1'000'000, '\x81')).has_value());
+  }
+  SECTION("truncated, trailing and empty input")
+  {
+    const auto bytes = EncodeCbor({ { "a", { 1, 2, 3 } } });
+    CHECK(DecodeCbor(bytes).has_value());
+    CHECK(!DecodeCbor(bytes.substr(0, bytes.size() - 1)).has_value());
+    CHECK(!DecodeCbor(bytes + "x").has_value());
+    CHECK(!DecodeCbor("").has_value());
+  }
+  SECTION("drawn bytes return a value or an error")
+  {
+    CHECK(rc::check("drawn bytes", [](const std::string& aBytes) {
+      const auto decoded = DecodeCbor(aBytes);
+      RC_ASSERT(decoded.has_value() ||
+                decoded.error() == errc::MessageMalformed);
+    }));
+  }
+}
--- /dev/null
+++ b/tests/fleet/test_peer_channel.cpp
@@ -0,0 +1,172 @@
+#include "core/hash.h"
+#include "modules/fleet/peer_frame.h"
+#include "modules/fleet/websocket_peer_channel.h"
+#include "tests/story.h"
+
+#include <rapidcheck.h>
+
+using namespace cowslipline;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::shared_ptr<websocket_peer_channel>
+OpenChannel(scheduler& aScheduler,
+            metrics& aMetrics,
+            const std::string& aName,
+            std::uint64_t aBoot = 1,
+            const std::string& aSecret = "fleet secret")
+{
+  peer_channel_options options;
+  options.mName = aName;
+  options.mBoot = aBoot;
+  options.mSecret = aSecret;
+  auto channel =
+    websocket_peer_channel::Create(aScheduler, aMetrics, std::move(options));
+  CHECK(channel.has_value());
+  return *channel;
+}
+
+peer_address
+AddressOf(const websocket_peer_channel& aChannel)
+{
+  return { "127.0.0.1", aChannel.Port() };
+}
+
+} // namespace
+
+TEST_GROUP(peer_channel)
+{
+  asio::io_context mContext;
+  system_scheduler mScheduler{ mContext };
+  metrics mMetrics;
+
+  /// Runs the task and then everything that is ready, until it has returned.
+  void RunTask(std::function<void(yield_context)> aTask)
+  {
+    bool isDone = false;
+    mScheduler.Spawn([&](yield_context aYield) {
+      aTask(aYield);
+      isDone = true;
+    });
+    while (!isDone) {
+      mContext.restart();
+      mContext.run_one();
+    }
+  }
+};
+
+TEST(peer_channel, CarriesCallsBetweenInstances)
+{
+  auto left = OpenChannel(mScheduler, mMetrics, "left");
+  auto right = OpenChannel(mScheduler, mMetrics, "right");
+  left->SetAddress("right", AddressOf(*right));
+  right->Handle("echo",
+                [](const instance_name& aFrom,
+                   std::string_view aPayload,
+                   yield_context) -> result<std::string> {
+                  return aFrom + ":" + std::string(aPayload);
+                });
+  RunTask([&](yield_context aYield) {
+    SECTION("a call is answered by its handler")
+    {
+      const auto reply = left->Call("right", "echo", "hello", 5s, aYield);
+      CHECK(reply.has_value());
+      STRCMP_EQUAL("left:hello", reply->c_str());
+    }
+    SECTION("a payload of the size of a configuration chunk arrives whole")
+    {
+      const std::string large(512UL * 1024, 'x');
+      const auto reply = left->Call("right", "echo", large, 5s, aYield);
+      CHECK(reply.has_value());
+      LONGS_EQUAL(large.size() + 5, reply->size());
+    }
+    SECTION("an unknown service and an unknown peer are told apart")
+    {
+      CHECK(left->Call("right", "other", "", 5s, aYield).error() ==
+            errc::PeerRejected);
+      CHECK(left->Call("nobody", "echo", "", 5s, aYield).error() ==
+            errc::PeerUnreachable);
+    }
+    left->Stop();
+    right->Stop();
+  });
+}
+
+// Guards against a foreign process that joins, and against an old process that
+// still talks after its instance was restarted.
+TEST(peer_channel, IgnoresForeignAndOldProcesses)
+{
+  auto receiver = OpenChannel(mScheduler, mMetrics, "receiver");
+  auto foreign = OpenChannel(mScheduler, mMetrics, "left", 9, "other secret");
+  auto current = OpenChannel(mScheduler, mMetrics, "left", 2);
+  auto old = OpenChannel(mScheduler, mMetrics, "left", 1);
+  int handled = 0;
+  receiver->Handle("count",
+                   [&](const instance_name&,
+                       std::string_view,
+                       yield_context) -> result<std::string> {
+                     ++handled;
+                     return std::string();
+                   });
+  for (const auto& channel : { foreign, current, old }) {
+    channel->SetAddress("receiver", AddressOf(*receiver));
+  }
+  RunTask([&](yield_context aYield) {
+    SECTION("a wrong secret is never handled")
+    {
+      CHECK(!foreign->Call("receiver", "count", "", 2s, aYield).has_value());
+      LONGS_EQUAL(0, handled);
+    }
+    SECTION("the newer boot is handled, the older one no longer")
+    {
+      CHECK(old->Call("receiver", "count", "", 5s, aYield).has_value());
+      CHECK(current->Call("receiver", "count", "", 5s, aYield).has_value());
+      LONGS_EQUAL(2, handled);
+      CHECK(old->Call("receiver", "count", "", 300ms, aYield).error() ==
+            errc::PeerTimeout);
+      LONGS_EQUAL(2, handled);
+    }
+    for (const auto& channel : { receiver, foreign, current, old }) {
+      channel->Stop();
+    }
+  });
+}
+
+// Guards against crashes and false acceptance when bytes from outside are
+// truncated or altered.
+TEST(peer_channel, RejectsAlteredFrames)
+{
+  peer_frame frame;
+  frame.mFrom = "left";
+  frame.mBoot = 3;
+  frame.mService = "limits.tokens";
+  frame.mKind = frame_kind::Request;
+  frame.mId = 12;
+  frame.mPayload = std::string("\x00\x01payload", 9);
+  const auto bytes = EncodeFrame(frame, "secret");
+  SECTION("an intact frame is read back")
+  {
+    const auto decoded = DecodeFrame(bytes, "secret");
+    CHECK(decoded.has_value());
+    CHECK(decoded->mPayload == frame.mPayload);
+    CHECK(decoded->mKind == frame_kind::Request);
+  }
+  SECTION("no truncation and no change of one byte is accepted")
+  {
+    for (std::size_t i = 0; i < bytes.size(); ++i) {
+      CHECK(!DecodeFrame(bytes.substr(0, i), "secret").has_value());
+      auto altered = bytes;
+      altered[i] = static_cast<char>(altered[i] ^ 0x41);
+      CHECK(!DecodeFrame(altered, "secret").has_value());
+    }
+  }
+  SECTION("drawn bytes with a valid tag are rejected or read, never more")
+  {
+    const bool isHeld = rc::check("drawn frames", [](const std::string& aBody) {
+      const auto tag = KeyedDigest16("secret", aBody);
+      RC_ASSERT(!DecodeFrame(std::string(aBody).append(AsView(tag)), "secret"));
+    });
+    CHECK(isHeld);
+  }
+}
