--- a/modules/configuration/snapshot.h
+++ b/modules/configuration/snapshot.h
@@ -19,6 +19,10 @@
 /// Index of a target within its service.
 using target_index = std::uint32_t;
 
+/// Organisation of a key whose organisation is not in the configuration. Such
+/// a key admits nobody; it is kept so that a withdrawal is never forgotten.
+constexpr organisation_index kNoOrganisation = UINT32_MAX;
+
 /// The answer must have one of these status codes.
 struct status_check
 {
@@ -87,7 +91,7 @@
 {
   std::string mId; ///< Public identifier, shown to operators.
   digest32 mDigest{};
-  organisation_index mOrganisation = 0;
+  organisation_index mOrganisation = kNoOrganisation;
   bool mIsWithdrawn = false;
 };
 
