--- a/modules/configuration/publisher.cpp
+++ b/modules/configuration/publisher.cpp
@@ -291,6 +291,10 @@
     if (written.error() != errc::StoreAnswerLost) {
       return Fail(written.error());
     }
+    const auto read = mStore.Read(aKey, aYield);
+    if (read && *read) {
+      return {};
+    }
     // Nothing is in force before the head is swapped, so a write that cannot
     // be confirmed is the same as an unavailable store.
     if (attempt == kWriteAttempts) {
