--- a/modules/configuration/access_keys.cpp
+++ b/modules/configuration/access_keys.cpp
@@ -108,4 +108,17 @@
   return std::move(index.mKeys);
 }
 
+tl::expected<configuration_content, std::vector<std::string>>
+MergeContent(const configuration_content& aInForce,
+             const configuration_content& aPublished)
+{
+  auto keys = MergeKeys(aInForce.mKeys, aPublished.mKeys);
+  if (!keys) {
+    return tl::unexpected<std::vector<std::string>>(std::move(keys.error()));
+  }
+  return configuration_content{ aPublished.mServices,
+                                aPublished.mOrganisations,
+                                std::move(*keys) };
+}
+
 } // namespace cowslipline
--- a/modules/configuration/access_keys.h
+++ b/modules/configuration/access_keys.h
@@ -39,4 +39,10 @@
 MergeKeys(const std::vector<key_definition>& aInForce,
           const std::vector<key_definition>& aPublished);
 
+/// What a publication of the files puts in force: their services and
+/// organisations, and the keys as MergeKeys() joins them.
+tl::expected<configuration_content, std::vector<std::string>>
+MergeContent(const configuration_content& aInForce,
+             const configuration_content& aPublished);
+
 } // namespace cowslipline
--- a/modules/configuration/configuration.h
+++ b/modules/configuration/configuration.h
@@ -3,6 +3,7 @@
 // Public header of the configuration module.
 #include "modules/configuration/access_keys.h"
 #include "modules/configuration/codec.h"
+#include "modules/configuration/content_diff.h"
 #include "modules/configuration/daemon_settings.h"
 #include "modules/configuration/diagnostic.h"
 #include "modules/configuration/head.h"
--- a/modules/configuration/publisher.cpp
+++ b/modules/configuration/publisher.cpp
@@ -34,18 +34,15 @@
   return ToHex(AsView(bytes));
 }
 
-/// Replaces everything but the keys, which are joined.
 std::vector<std::string>
 ReplaceContent(const configuration_content& aNew,
                configuration_content& aContent)
 {
-  auto keys = MergeKeys(aContent.mKeys, aNew.mKeys);
-  if (!keys) {
-    return keys.error();
+  auto merged = MergeContent(aContent, aNew);
+  if (!merged) {
+    return merged.error();
   }
-  aContent.mServices = aNew.mServices;
-  aContent.mOrganisations = aNew.mOrganisations;
-  aContent.mKeys = std::move(*keys);
+  aContent = std::move(*merged);
   return {};
 }
 
--- a/modules/configuration/table_reader.cpp
+++ b/modules/configuration/table_reader.cpp
@@ -145,10 +145,11 @@
 table_reader::CheckUnknown()
 {
   for (const auto& [key, node] : mTable) {
+    const auto name = key.str();
     const auto isTable = [&](const key_schema& aEntry) {
-      return mTableName.empty() && aEntry.mTable == key.str();
+      return mTableName.empty() && aEntry.mTable == name;
     };
-    if (FindKey(mSchema, mTableName, key.str()) != nullptr ||
+    if (FindKey(mSchema, mTableName, name) != nullptr ||
         std::any_of(mSchema.begin(), mSchema.end(), isTable)) {
       continue;
     }
@@ -156,7 +157,7 @@
       { std::string(mFile),
         key.source().begin.line,
         (mTableName.empty() ? "" : std::string(mTableName) + ".") +
-          std::string(key.str()),
+          std::string(name),
         "unknown key",
         "allowed: " + AllowedKeys() });
   }
--- a/tests/configuration/service_file_text.h
+++ b/tests/configuration/service_file_text.h
@@ -42,8 +42,8 @@
     "[[key]]",
     "id = \"k1\"",
     "organisation = \"acme\"",
-    "digest = \"00112233445566778899aabbccddeeff"
-    "00112233445566778899aabbccddeeff\"",
+    // 64 hexadecimal digits.
+    R"(digest = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff")",
   };
 };
 
--- a/tests/configuration/test_service_files.cpp
+++ b/tests/configuration/test_service_files.cpp
@@ -219,11 +219,11 @@
     { "organisation.name", 13 }, { "key.id", 17 },  { "key.digest", 19 },
   };
   LONGS_EQUAL(std::size(expected), parsed.error().size());
-  for (const auto& [key, line] : expected) {
-    const auto place = "a.toml:" + std::to_string(line);
+  for (const auto& entry : expected) {
+    const auto place = "a.toml:" + std::to_string(entry.second);
     CHECK(std::any_of(
       parsed.error().begin(), parsed.error().end(), [&](const auto& aEntry) {
-        return aEntry.mKey == key && aEntry.mFile == "b.toml" &&
+        return aEntry.mKey == entry.first && aEntry.mFile == "b.toml" &&
                aEntry.mProblem.find(place) != std::string::npos;
       }));
   }
