--- a/modules/gateway/bounded_task_queue.cpp
+++ b/modules/gateway/bounded_task_queue.cpp
@@ -59,6 +59,13 @@
   mRefusingThread.join();
 }
 
+bool
+bounded_task_queue::HasWaiting() const
+{
+  const std::lock_guard lock(mMutex);
+  return mBusy + mServed.mTasks.size() > mThreads.size();
+}
+
 bool
 bounded_task_queue::IsRefusing() const
 {
--- a/modules/gateway/bounded_task_queue.h
+++ b/modules/gateway/bounded_task_queue.h
@@ -25,6 +25,8 @@
   void enqueue(std::function<void()> aTask) override;
   void shutdown() override;
 
+  /// True while a task waits for a thread.
+  bool HasWaiting() const;
   /// True on the thread that runs the tasks over the bound.
   bool IsRefusing() const;
 
@@ -38,7 +40,7 @@
 
   const std::size_t mBound;
   const std::function<void()> mOnWaiting;
-  std::mutex mMutex;
+  mutable std::mutex mMutex;
   lane mServed;
   lane mRefused;
   std::size_t mBusy = 0;
--- a/modules/gateway/buffered_reader.cpp
+++ b/modules/gateway/buffered_reader.cpp
@@ -4,7 +4,6 @@
 #include <array>
 #include <cctype>
 #include <charconv>
-#include <cstring>
 
 namespace cowslipline {
 
@@ -13,6 +12,7 @@
 constexpr std::size_t kReadBytes = 65'536;
 constexpr std::size_t kChunkLineBytes = 1024;
 constexpr std::size_t kTrailerLines = 100;
+constexpr std::string_view kLineEnd = "\r\n";
 
 read_error
 ErrorOf(io_status aStatus)
@@ -60,6 +60,22 @@
 
 } // namespace
 
+std::string_view
+buffered_reader::Buffered() const
+{
+  return std::string_view(mBuffer).substr(mStart);
+}
+
+void
+buffered_reader::Consume(std::size_t aBytes)
+{
+  mStart += aBytes;
+  if (mStart == mBuffer.size()) {
+    mBuffer.clear();
+    mStart = 0;
+  }
+}
+
 std::optional<read_error>
 buffered_reader::Fill()
 {
@@ -68,33 +84,23 @@
   if (got.mStatus != io_status::Done) {
     return ErrorOf(got.mStatus);
   }
+  mBuffer.erase(0, mStart);
+  mStart = 0;
   mBuffer.append(data.data(), got.mBytes);
   return std::nullopt;
 }
 
-io_result
-buffered_reader::Read(char* aData, std::size_t aSize)
-{
-  if (mBuffer.empty()) {
-    return mSocket.Read(aData, aSize);
-  }
-  const auto count = std::min(aSize, mBuffer.size());
-  std::memcpy(aData, mBuffer.data(), count);
-  mBuffer.erase(0, count);
-  return { io_status::Done, count };
-}
-
 tl::expected<std::string, read_error>
 buffered_reader::ReadHead(std::size_t aLimit)
 {
   while (true) {
-    const auto end = FindHeadEnd(mBuffer);
-    if (end.value_or(mBuffer.size()) > aLimit) {
+    const auto end = FindHeadEnd(Buffered());
+    if (end.value_or(Buffered().size()) > aLimit) {
       return tl::unexpected(read_error::HeadTooLarge);
     }
     if (end) {
-      auto head = mBuffer.substr(0, *end);
-      mBuffer.erase(0, *end);
+      std::string head(Buffered().substr(0, *end));
+      Consume(*end);
       return head;
     }
     if (const auto error = Fill()) {
@@ -120,19 +126,18 @@
 buffered_reader::ReadExactly(std::uint64_t aSize, body_buffer& aBody)
 {
   while (aSize > 0) {
-    if (mBuffer.empty()) {
+    if (!HasBuffered()) {
       if (const auto error = Fill()) {
         return error;
       }
     }
-    const auto count =
-      static_cast<std::size_t>(std::min<std::uint64_t>(aSize, mBuffer.size()));
-    const auto status =
-      aBody.Append(std::string_view(mBuffer).substr(0, count));
+    const auto count = static_cast<std::size_t>(
+      std::min<std::uint64_t>(aSize, Buffered().size()));
+    const auto status = aBody.Append(Buffered().substr(0, count));
     if (status != append_status::Done) {
       return ErrorOf(status);
     }
-    mBuffer.erase(0, count);
+    Consume(count);
     aSize -= count;
   }
   return std::nullopt;
@@ -142,15 +147,16 @@
 buffered_reader::ReadLine(std::size_t aLimit)
 {
   while (true) {
-    const auto end = mBuffer.find("\r\n");
-    if (std::min(end, mBuffer.size()) > aLimit) {
-      return tl::unexpected(read_error::Malformed);
-    }
-    if (end != mBuffer.npos) {
-      auto line = mBuffer.substr(0, end);
-      mBuffer.erase(0, end + 2);
+    const auto buffered = Buffered().substr(0, aLimit + kLineEnd.size());
+    const auto end = buffered.find(kLineEnd);
+    if (end != buffered.npos) {
+      std::string line(buffered.substr(0, end));
+      Consume(end + kLineEnd.size());
       return line;
     }
+    if (buffered.size() == aLimit + kLineEnd.size()) {
+      return tl::unexpected(read_error::Malformed);
+    }
     if (const auto error = Fill()) {
       return tl::unexpected(*error);
     }
--- a/modules/gateway/buffered_reader.h
+++ b/modules/gateway/buffered_reader.h
@@ -30,7 +30,7 @@
   {
   }
 
-  bool HasBuffered() const { return !mBuffer.empty(); }
+  bool HasBuffered() const { return mStart < mBuffer.size(); }
 
   /// The bytes of a head with its empty line.
   tl::expected<std::string, read_error> ReadHead(std::size_t aLimit);
@@ -39,9 +39,6 @@
   std::optional<read_error> ReadBody(const body_framing& aFraming,
                                      body_buffer& aBody);
 
-  /// Reads at least one byte, buffered ones first.
-  io_result Read(char* aData, std::size_t aSize);
-
 private:
   std::optional<read_error> Fill();
   std::optional<read_error> ReadExactly(std::uint64_t aSize,
@@ -50,8 +47,14 @@
   std::optional<read_error> SkipTrailers();
   tl::expected<std::string, read_error> ReadLine(std::size_t aLimit);
 
+  std::string_view Buffered() const;
+  /// Takes bytes off the front without moving the rest: a body of one-byte
+  /// chunks would move the whole buffer for each of them.
+  void Consume(std::size_t aBytes);
+
   timed_socket& mSocket;
   std::string mBuffer;
+  std::size_t mStart = 0;
 };
 
 } // namespace cowslipline
--- a/modules/gateway/caller_server.cpp
+++ b/modules/gateway/caller_server.cpp
@@ -25,15 +25,18 @@
 /// the answer.
 constexpr duration kLingerTimeout = std::chrono::milliseconds(250);
 constexpr std::size_t kLingerBytes = 1 << 20;
+/// The same for a connection over the bound. All of these are refused on one
+/// thread, so that each must be short.
+constexpr duration kRefusedLingerTimeout = std::chrono::milliseconds(20);
 
 /// Longest wait for the library to accept what the system holds.
 constexpr duration kAcceptTimeout = std::chrono::milliseconds(100);
 
 void
-ReadUntilClosed(timed_socket& aSocket)
+ReadUntilClosed(timed_socket& aSocket, duration aTimeout)
 {
   ::shutdown(aSocket.Descriptor(), SHUT_WR);
-  aSocket.SetDeadline(ReadBootClock() + kLingerTimeout);
+  aSocket.SetDeadline(ReadBootClock() + aTimeout);
   std::array<char, 16'384> ignored;
   std::size_t total = 0;
   while (total < kLingerBytes) {
@@ -184,8 +187,10 @@
 caller_server::ServeConnection(connection& aConnection)
 {
   const auto descriptor = aConnection.mSocket.Descriptor();
+  const auto needsRoom = [this] { return mQueue.load()->HasWaiting(); };
   while (aConnection.mReader.HasBuffered() ||
-         mConnections.WaitForInput(descriptor, mOptions.mTimeouts.mIdle)) {
+         mConnections.WaitForInput(
+           descriptor, mOptions.mTimeouts.mIdle, needsRoom)) {
     if (!ServeRequest(aConnection)) {
       return;
     }
@@ -213,14 +218,15 @@
   caller_exchange exchange(
     std::move(*head), socket, aConnection.mReader, mOptions.mTimeouts.mBody);
   aConnection.mAnswer = mHandler(exchange);
-  aConnection.mIsClosing = !exchange.IsBodyRead() ||
-                           exchange.Head().WantsClose() ||
-                           mConnections.IsStopping();
+  aConnection.mIsClosing =
+    !exchange.IsBodyRead() || exchange.Head().WantsClose() ||
+    mConnections.IsStopping() ||
+    (!aConnection.mReader.HasBuffered() && mQueue.load()->HasWaiting());
   if (!WriteAnswer(aConnection, isHead)) {
     return false;
   }
-  if (!exchange.IsBodyRead()) {
-    ReadUntilClosed(socket);
+  if (aConnection.mIsClosing) {
+    ReadUntilClosed(socket, kLingerTimeout);
   }
   return !aConnection.mIsClosing;
 }
@@ -238,7 +244,7 @@
   aConnection.mAnswer = MakeRefusalAnswer(refusal(reason), MakeRequestId());
   aConnection.mIsClosing = true;
   if (WriteAnswer(aConnection, false)) {
-    ReadUntilClosed(aConnection.mSocket);
+    ReadUntilClosed(aConnection.mSocket, kLingerTimeout);
   }
 }
 
@@ -250,7 +256,7 @@
     MakeRefusalAnswer(refusal(refusal_reason::Overloaded), MakeRequestId());
   aConnection.mIsClosing = true;
   if (WriteAnswer(aConnection, false)) {
-    ReadUntilClosed(aConnection.mSocket);
+    ReadUntilClosed(aConnection.mSocket, kRefusedLingerTimeout);
   }
 }
 
--- a/modules/gateway/connection_registry.cpp
+++ b/modules/gateway/connection_registry.cpp
@@ -14,9 +14,9 @@
 
 namespace {
 
-/// A connection that was accepted just before the stop may have its first
-/// request on the way.
-constexpr duration kStopGrace = std::chrono::milliseconds(100);
+/// Wait on a connection that shall end soon. One that was accepted just before
+/// the instance stops may have its first request on the way.
+constexpr duration kShortWait = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -42,13 +42,15 @@
 }
 
 bool
-connection_registry::WaitForInput(int aDescriptor, duration aTimeout)
+connection_registry::WaitForInput(int aDescriptor,
+                                  duration aTimeout,
+                                  const std::function<bool()>& aNeedsRoom)
 {
   std::array<pollfd, 2> waits{ { { aDescriptor, POLLIN, 0 },
                                  { MarkIdle(aDescriptor), POLLIN, 0 } } };
-  const bool isStopping = waits[1].fd < 0;
+  const bool isShort = waits[1].fd < 0 || aNeedsRoom();
   const auto timeout = std::chrono::ceil<std::chrono::milliseconds>(
-    isStopping ? std::min(aTimeout, kStopGrace) : aTimeout);
+    isShort ? std::min(aTimeout, kShortWait) : aTimeout);
   while (::poll(waits.data(), waits.size(), static_cast<int>(timeout.count())) <
            0 &&
          errno == EINTR) {
--- a/modules/gateway/connection_registry.h
+++ b/modules/gateway/connection_registry.h
@@ -4,6 +4,7 @@
 
 #include <condition_variable>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <mutex>
 
@@ -21,7 +22,11 @@
 
   /// Waits for the first byte of the next request. False when the connection
   /// shall end: the timeout passed, the instance stops or needs room.
-  bool WaitForInput(int aDescriptor, duration aTimeout);
+  /// aNeedsRoom is asked once the connection counts as idle, so that room
+  /// needed at the same moment is not missed.
+  bool WaitForInput(int aDescriptor,
+                    duration aTimeout,
+                    const std::function<bool()>& aNeedsRoom);
 
   /// Ends the wait of the connection that has been idle longest.
   void EndLongestIdle();
--- a/modules/gateway/request_pipeline.cpp
+++ b/modules/gateway/request_pipeline.cpp
@@ -7,7 +7,7 @@
 
 #include <algorithm>
 #include <array>
-#include <new>
+#include <exception>
 
 namespace cowslipline {
 
@@ -174,16 +174,16 @@
 digest16
 FingerprintOf(const request_context& aContext)
 {
+  const auto body = KeyedDigest32(kFingerprintSecret, aContext.mBody.Text());
   std::string text;
-  text.reserve(aContext.mBody.Text().size() + aContext.mTarget.size() + 128);
   for (const std::string_view part :
        { std::string_view(aContext.Route().mId),
          std::string_view(aContext.mOrganisation),
          std::string_view(aContext.Head().mMethod),
-         std::string_view(aContext.mTarget) }) {
+         std::string_view(aContext.mTarget),
+         AsView(body) }) {
     text.append(part).push_back('\0');
   }
-  text.append(aContext.mBody.Text());
   return KeyedDigest16(kFingerprintSecret, text);
 }
 
@@ -221,8 +221,9 @@
     } else {
       refused = served.error();
     }
-  } catch (const std::bad_alloc&) {
-    // A claim stays recorded then; its outcome is unknown.
+  } catch (const std::exception& failure) {
+    // Memory may be short. A claim stays recorded, so its outcome is unknown.
+    Log(log_level::Error, "request_failed", { { "message", failure.what() } });
     refused = refusal(refusal_reason::Overloaded, context.Ran());
   }
   if (refused) {
@@ -510,6 +511,12 @@
     std::max<std::size_t>(1,
                           aContext.Service().mConnectionsPerTarget / kFleetSize)
   };
+  if (aContext.Route().mCancelOnDisconnect &&
+      HasPeerLeft(aContext.mExchange.Descriptor())) {
+    mDecisions.mTargets.Abandon(aContext.mTargetRequest, aTarget);
+    return tl::unexpected(
+      refusal(refusal_reason::UpstreamUnreachable, aContext.Ran()));
+  }
   ++aContext.mAttempts;
   auto attempted = mUpstreams.Exchange(endpoint, request);
   if (!attempted) {
--- a/modules/gateway/upstream_client.cpp
+++ b/modules/gateway/upstream_client.cpp
@@ -1,6 +1,7 @@
 #include "modules/gateway/upstream_client.h"
 
 #include <algorithm>
+#include <new>
 
 namespace cowslipline {
 
@@ -25,22 +26,39 @@
   if (!Reserve(key, aRequest, aEndpoint.mConnections)) {
     return Fail(errc::Overloaded);
   }
-  upstream_result answered;
   auto connection = aRequest.mIsIdempotent ? TakeIdle(key) : nullptr;
-  if (connection != nullptr) {
-    answered =
-      connection->Exchange(aRequest, mBudget, mOptions.mConnectTimeout);
-  }
-  if (connection == nullptr || connection->IsStale()) {
-    connection =
-      std::make_unique<upstream_connection>(aEndpoint.mHost, aEndpoint.mPort);
-    answered =
-      connection->Exchange(aRequest, mBudget, mOptions.mConnectTimeout);
-  }
+  auto answered = ExchangeOn(connection, aEndpoint, aRequest);
   GiveBack(key, std::move(connection), answered.mClass);
   return answered;
 }
 
+upstream_result
+upstream_client::ExchangeOn(connection_pointer& aConnection,
+                            const upstream_endpoint& aEndpoint,
+                            const upstream_request& aRequest)
+{
+  const auto timeout = mOptions.mConnectTimeout;
+  try {
+    if (aConnection != nullptr) {
+      auto answered = aConnection->Exchange(aRequest, mBudget, timeout);
+      if (!aConnection->IsStale()) {
+        return answered;
+      }
+    }
+    aConnection =
+      std::make_unique<upstream_connection>(aEndpoint.mHost, aEndpoint.mPort);
+    return aConnection->Exchange(aRequest, mBudget, timeout);
+  } catch (const std::bad_alloc&) {
+    // Nothing is known about how far the exchange came.
+    aConnection.reset();
+    upstream_result failed;
+    failed.mClass = attempt_class::Canceled;
+    failed.mHasSent = true;
+    failed.mIsOverBudget = true;
+    return failed;
+  }
+}
+
 bool
 upstream_client::Reserve(const std::string& aKey,
                          const upstream_request& aRequest,
@@ -92,6 +110,9 @@
     const std::lock_guard lock(mMutex);
     auto& target = mPools[aKey];
     --target.mInUse;
+    if (aConnection == nullptr) {
+      return;
+    }
     if (aClass == attempt_class::Timeout) {
       target.mSilentUntil =
         std::max(target.mSilentUntil, aConnection->OpenedAt());
--- a/modules/gateway/upstream_client.h
+++ b/modules/gateway/upstream_client.h
@@ -63,6 +63,10 @@
     steady_time mSilentUntil;
   };
 
+  /// Replaces the connection when there is none or it is stale.
+  upstream_result ExchangeOn(connection_pointer& aConnection,
+                             const upstream_endpoint& aEndpoint,
+                             const upstream_request& aRequest);
   bool Reserve(const std::string& aKey,
                const upstream_request& aRequest,
                std::size_t aBound);
