--- /dev/null
+++ b/modules/health/request_quarantine.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "core/hash.h"
+#include "core/metrics.h"
+#include "core/scheduler.h"
+#include "modules/fleet/membership.h"
+#include "modules/fleet/peer_channel.h"
+#include "modules/health/health_types.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace cowslipline {
+
+/// Refuses requests that brought down two different targets within 10 minutes.
+/// The shard's owner of the fingerprint collects the crashes of all instances.
+class request_quarantine
+{
+public:
+  request_quarantine(std::shared_ptr<scheduler> aScheduler,
+                     std::shared_ptr<peer_channel> aChannel,
+                     std::shared_ptr<membership> aMembership,
+                     std::shared_ptr<metrics> aMetrics);
+
+  /// Registers the peer handlers.
+  void Start();
+
+  bool IsQuarantined(const digest16& aFingerprint) const;
+
+  /// The attempt of this request ended in a connection reset, or at a target
+  /// that then refused connections.
+  void RecordCrash(const digest16& aFingerprint,
+                   std::string_view aService,
+                   std::string_view aTarget);
+
+private:
+  struct entry
+  {
+    /// Time of the last crash, by hash of service and target.
+    std::map<std::uint32_t, steady_time> mCrashes;
+    steady_time mQuarantinedUntil{};
+    steady_time mChanged{};
+  };
+
+  void Add(const digest16& aFingerprint, std::uint32_t aTarget);
+  void Quarantine(const digest16& aFingerprint);
+  void RemoveOldest();
+  void HandleCrash(std::string_view aPayload);
+  void HandleQuarantine(std::string_view aPayload);
+
+  std::shared_ptr<scheduler> mScheduler;
+  std::shared_ptr<peer_channel> mChannel;
+  std::shared_ptr<membership> mMembership;
+  std::shared_ptr<metrics> mMetrics;
+  std::map<digest16, entry> mEntries;
+};
+
+} // namespace cowslipline
