--- a/modules/health/ejection.cpp
+++ b/modules/health/ejection.cpp
@@ -97,6 +97,17 @@
   return text;
 }
 
+std::uint32_t
+DigestOf(const std::vector<ejection>& aEjections)
+{
+  std::uint32_t digest = 0;
+  for (const auto& one : aEjections) {
+    digest ^= NameHash(std::to_string(one.mTarget) + "/" +
+                       std::to_string(one.mSequence));
+  }
+  return digest;
+}
+
 std::string
 EncodeEjections(const std::vector<ejection>& aEjections)
 {
--- a/modules/health/ejection.h
+++ b/modules/health/ejection.h
@@ -58,6 +58,10 @@
   std::chrono::milliseconds mTimeLeft{ 0 };
 };
 
+/// Equal at owner and holder when they know the same ejections, in any order.
+std::uint32_t
+DigestOf(const std::vector<ejection>& aEjections);
+
 std::string
 EncodeEjections(const std::vector<ejection>& aEjections);
 
--- a/modules/health/target_selector.cpp
+++ b/modules/health/target_selector.cpp
@@ -247,6 +247,23 @@
   return capacity;
 }
 
+bool
+target_selector::IsInUse(std::string_view aService, std::string_view aTarget)
+{
+  const auto* const state = mTable->FindByName(aService);
+  if (state == nullptr) {
+    return false;
+  }
+  const auto usage =
+    EvaluateUsage(mTable->SettingsOf(*state), *state, mScheduler->Now());
+  for (std::size_t i = 0; i < state->mTargets.size(); ++i) {
+    if (state->mTargets[i]->mName == aTarget) {
+      return usage.mIsInUse[i];
+    }
+  }
+  return false;
+}
+
 std::vector<ejection_record>
 target_selector::Explain(std::string_view aService,
                          std::string_view aTarget) const
--- a/modules/health/target_selector.h
+++ b/modules/health/target_selector.h
@@ -50,6 +50,9 @@
   /// Requests that this instance may have in flight at the service now.
   std::uint32_t CapacityOf(service_index aService);
 
+  /// Whether this instance gives the target new work.
+  bool IsInUse(std::string_view aService, std::string_view aTarget);
+
   /// Records about a target, oldest first, with their evidence.
   std::vector<ejection_record> Explain(std::string_view aService,
                                        std::string_view aTarget) const;
--- a/modules/health/target_state.cpp
+++ b/modules/health/target_state.cpp
@@ -27,7 +27,7 @@
     worst = exclusion{ kHoldSeverity, mHold.Until() };
   }
   for (const auto& held : mEjections) {
-    if (aNow < held.mExpires &&
+    if (held.mAppliesHere && aNow < held.mExpires &&
         (!worst || held.mEjection.mSeverity > worst->mSeverity)) {
       worst = exclusion{ held.mEjection.mSeverity, held.mExpires };
     }
--- a/modules/health/target_state.h
+++ b/modules/health/target_state.h
@@ -20,6 +20,8 @@
   instance_name mDecidedBy;
   ejection mEjection;
   steady_time mExpires{};
+  /// The scope includes this instance.
+  bool mAppliesHere = false;
 };
 
 /// Why a target should be out of use.
