--- /dev/null
+++ b/modules/limits/limit_constants.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <chrono>
+
+namespace cowslipline {
+
+/// Equal parts into which every rate and burst is divided.
+constexpr unsigned kAllotmentUnits = 240;
+
+/// How long an owner counts a cession, from the moment it sent the request.
+constexpr duration kCessionValidity = std::chrono::seconds(4);
+constexpr duration kCessionPeriod = std::chrono::milliseconds(1300);
+
+/// How long a holder may use granted tokens, from the moment it sent its
+/// request.
+constexpr duration kTokenValidity = std::chrono::milliseconds(500);
+
+/// The side that promises waits longer by this part than the side that relies
+/// on the promise: clock rates may differ by 2%.
+constexpr int kClockRateMarginPercent = 2;
+
+constexpr duration
+WithClockRateMargin(duration aDuration)
+{
+  return aDuration + aDuration * kClockRateMarginPercent / 100;
+}
+
+/// An instance that heard neither a peer nor the store for so long stops using
+/// its units: others may have reclaimed them (after 60 s).
+constexpr duration kIsolationLimit = std::chrono::seconds(30);
+constexpr duration kReclaimSilence = std::chrono::seconds(60);
+
+/// Tolerance for sums of floating-point tokens, in tokens.
+constexpr double kTokenEpsilon = 1e-9;
+
+inline double
+InSeconds(duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+} // namespace cowslipline
--- /dev/null
+++ b/modules/limits/rate_limiter.cpp
@@ -0,0 +1,226 @@
+#include "modules/limits/rate_limiter.h"
+
+#include "core/check.h"
+#include "modules/limits/limit_constants.h"
+#include "modules/limits/limit_messages.h"
+
+#include <algorithm>
+#include <set>
+
+namespace cowslipline {
+
+namespace {
+
+constexpr duration kMaintenancePeriod = std::chrono::seconds(1);
+constexpr duration kPingTimeout = std::chrono::seconds(1);
+
+} // namespace
+
+std::shared_ptr<rate_limiter>
+rate_limiter::Create(limiter_services aServices)
+{
+  return std::shared_ptr<rate_limiter>(new rate_limiter(std::move(aServices)));
+}
+
+rate_limiter::rate_limiter(limiter_services aServices)
+  : mServices(std::move(aServices))
+  , mScheduler(*mServices.mScheduler)
+  , mLimits(mServices.mSnapshots)
+  , mTable(mScheduler, mServices.mStore, mServices.mMembership, mHolder)
+  , mOwner(mScheduler,
+           mServices.mChannel,
+           mServices.mMembership,
+           mLimits,
+           mTable,
+           mHolder)
+  , mClient(mScheduler,
+            mServices.mChannel,
+            mServices.mMembership,
+            mLimits,
+            mTable,
+            mHolder,
+            mOwner)
+{
+  mTable.OnGrowth([this] { SendNotices(); });
+}
+
+void
+rate_limiter::Start()
+{
+  const auto self = shared_from_this();
+  mServices.mChannel->Handle(
+    kCedeService,
+    [self](const instance_name& aFrom,
+           std::string_view aPayload,
+           yield_context) { return self->HandleCede(aFrom, aPayload); });
+  mServices.mChannel->Handle(
+    kTokenService,
+    [self](const instance_name& aFrom,
+           std::string_view aPayload,
+           yield_context) { return self->HandleTokens(aFrom, aPayload); });
+  mScheduler.Spawn([self](yield_context aYield) { self->mTable.Run(aYield); });
+  mScheduler.Spawn([self](yield_context aYield) { self->mOwner.Run(aYield); });
+  mScheduler.Spawn([self](yield_context aYield) { self->Maintain(aYield); });
+}
+
+result<void>
+rate_limiter::Admit(std::string_view aOrganisation,
+                    duration aWait,
+                    yield_context aYield)
+{
+  const auto outcome = mClient.Admit(std::string(aOrganisation), aWait, aYield);
+  auto& counters = *mServices.mMetrics;
+  if (outcome) {
+    counters.Counter("cowslipline_limits_admitted_total").Add();
+  } else if (outcome.error() == errc::RateLimited) {
+    counters.Counter("cowslipline_limits_refused_total").Add();
+  } else {
+    counters.Counter("cowslipline_limits_not_ready_total").Add();
+  }
+  return outcome;
+}
+
+duration
+rate_limiter::SuggestedRetryDelay(std::string_view aOrganisation) const
+{
+  return mClient.RetryAfter(std::string(aOrganisation));
+}
+
+result<void>
+rate_limiter::Leave(yield_context aYield)
+{
+  mHasLeft = true;
+  mHolder.StopCeding();
+  mOwner.Leave(aYield);
+  return mTable.Leave(aYield);
+}
+
+std::size_t
+rate_limiter::OrganisationCount() const
+{
+  return mClient.UseCount() + mOwner.BucketCount() + mHolder.BucketCount();
+}
+
+void
+rate_limiter::Maintain(yield_context aYield)
+{
+  const auto lookup = [this](std::string_view aName) {
+    return mLimits.Find(aName).value_or(rate_limits{});
+  };
+  while (!mHasLeft) {
+    mScheduler.SleepFor(kMaintenancePeriod, aYield);
+    mClient.DropIdle();
+    mHolder.DropIdle(lookup, mScheduler.Now());
+    if (mHolder.Units() > 0 && mTable.NeedsAnswer()) {
+      Ping(aYield);
+    }
+  }
+}
+
+/// Tells the owners that there are units to cede.
+void
+rate_limiter::SendNotices()
+{
+  std::set<instance_name> owners;
+  for (shard_index shard = 0; shard < kShardCount; ++shard) {
+    if (((mLimits.UsedShards() >> shard) & 1U) != 0) {
+      owners.insert(mServices.mMembership->OwnerOf(shard));
+    }
+  }
+  const auto& self = mServices.mMembership->Self();
+  for (const auto& owner : owners) {
+    if (owner != self.mName) {
+      mServices.mChannel->Send(
+        owner,
+        kCedeService,
+        Encode(cede_message{ cede_kind::Notice, self.mBoot, 0, 0 }));
+    }
+  }
+}
+
+/// Checks that some peer hears this instance, while the store is away and no
+/// other call is made.
+void
+rate_limiter::Ping(yield_context aYield)
+{
+  const auto members = mServices.mMembership->LiveMembers();
+  const auto& self = mServices.mMembership->Self();
+  const auto sent = mScheduler.Now();
+  const auto start =
+    static_cast<std::size_t>(InSeconds(sent.time_since_epoch()));
+  for (std::size_t i = 0; i < members.size(); ++i) {
+    const auto& one = members[(start + i) % members.size()];
+    if (one.mName == self.mName) {
+      continue;
+    }
+    const auto answer = mServices.mChannel->Call(
+      one.mName,
+      kCedeService,
+      Encode(cede_message{ cede_kind::Notice, self.mBoot, 0, 0 }),
+      kPingTimeout,
+      aYield);
+    if (answer) {
+      mTable.NoteAnswer(sent);
+    }
+    return;
+  }
+}
+
+result<std::string>
+rate_limiter::HandleCede(const instance_name& aFrom, std::string_view aPayload)
+{
+  const auto message = DecodeCedeMessage(aPayload);
+  COWSLIPLINE_PROPAGATE(message);
+  switch (message->mKind) {
+    case cede_kind::Request:
+      return Encode(Cede(aFrom, *message));
+    case cede_kind::Release:
+      Release(aFrom, *message);
+      break;
+    case cede_kind::Notice:
+      mOwner.HandleNotice(aFrom);
+      break;
+  }
+  return std::string();
+}
+
+cede_reply
+rate_limiter::Cede(const instance_name& aFrom, const cede_message& aMessage)
+{
+  mTable.CheckIsolation();
+  const auto now = mScheduler.Now();
+  cede_reply reply;
+  for (shard_index shard = 0; shard < kShardCount; ++shard) {
+    if (((aMessage.mShards >> shard) & 1U) != 0) {
+      const bool isPreferred = mServices.mMembership->OwnerOf(shard) == aFrom;
+      reply.mUnits.push_back(mHolder.Cede(shard,
+                                          { aFrom, aMessage.mBoot },
+                                          aMessage.mSequence,
+                                          isPreferred,
+                                          now));
+    }
+  }
+  return reply;
+}
+
+void
+rate_limiter::Release(const instance_name& aFrom, const cede_message& aMessage)
+{
+  for (shard_index shard = 0; shard < kShardCount; ++shard) {
+    if (((aMessage.mShards >> shard) & 1U) != 0) {
+      mHolder.Release(
+        shard, { aFrom, aMessage.mBoot }, aMessage.mSequence, mScheduler.Now());
+    }
+  }
+}
+
+result<std::string>
+rate_limiter::HandleTokens(const instance_name& aFrom,
+                           std::string_view aPayload)
+{
+  const auto request = DecodeTokenRequest(aPayload);
+  COWSLIPLINE_PROPAGATE(request);
+  return Encode(mOwner.HandleRequest(aFrom, *request));
+}
+
+} // namespace cowslipline
--- /dev/null
+++ b/modules/limits/shard_owner.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "core/metrics.h"
+#include "core/scheduler.h"
+#include "modules/fleet/membership.h"
+#include "modules/fleet/peer_channel.h"
+#include "modules/limits/allotment_table.h"
+#include "modules/limits/fraction_holder.h"
+#include "modules/limits/limit_messages.h"
+#include "modules/limits/organisation_limits.h"
+#include "modules/limits/token_pool.h"
+
+#include <array>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace cowslipline {
+
+/// The owner's side: collects the fractions of the shards that this instance
+/// owns and grants tokens from them.
+class shard_owner
+{
+public:
+  shard_owner(scheduler& aScheduler,
+              std::shared_ptr<peer_channel> aChannel,
+              std::shared_ptr<membership> aMembership,
+              const organisation_limits& aLimits,
+              allotment_table& aTable,
+              fraction_holder& aHolder);
+
+  /// Asks for cessions each period. Returns after Leave().
+  void Run(yield_context aYield);
+
+  /// Answers a request for tokens, from a peer or from this instance.
+  token_reply HandleRequest(const instance_name& aFrom,
+                            const token_request& aRequest);
+
+  /// The sender has units to cede.
+  void HandleNotice(const instance_name& aFrom);
+
+  /// Takes a token for immediate use by this instance.
+  bool Take(std::string_view aOrganisation, const rate_limits& aLimits);
+
+  /// Stops granting and releases all cessions once the granted tokens are used
+  /// or have expired.
+  void Leave(yield_context aYield);
+
+  std::size_t BucketCount() const;
+
+private:
+  struct owned_shard
+  {
+    bool mIsOwned = false;
+    /// Until when the granted tokens may be in use, after ownership ended.
+    bool mIsReleasing = false;
+    token_pool mPool;
+  };
+
+  void UpdateOwnership();
+  void StartOwning(shard_index aShard);
+  void StopOwning(shard_index aShard);
+  void ReleaseDrained();
+  void AskAll();
+  void AskSelf(shard_mask aShards);
+  void AskPeer(const instance_name& aName,
+               shard_mask aShards,
+               yield_context aYield);
+  void Count(const instance_name& aName,
+             std::uint64_t aSequence,
+             shard_mask aShards,
+             const std::vector<unsigned>& aUnits,
+             steady_time aSent);
+  shard_mask OwnedShards() const;
+  std::vector<instance_name> MembersToAsk() const;
+  token_reply_item Answer(const instance_name& aFrom,
+                          const token_request_item& aItem);
+  const member& Self() const { return mMembership->Self(); }
+
+  scheduler& mScheduler;
+  std::shared_ptr<peer_channel> mChannel;
+  std::shared_ptr<membership> mMembership;
+  const organisation_limits& mLimits;
+  allotment_table& mTable;
+  fraction_holder& mHolder;
+  event mWake;
+  bool mIsLeaving = false;
+  std::uint64_t mSequence = 0;
+  std::array<owned_shard, kShardCount> mShards;
+  std::map<instance_name, std::uint64_t> mAppliedSequence;
+  std::set<instance_name> mNoticed;
+};
+
+} // namespace cowslipline
--- /dev/null
+++ b/modules/limits/token_client.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include "core/metrics.h"
+#include "core/scheduler.h"
+#include "modules/fleet/membership.h"
+#include "modules/fleet/peer_channel.h"
+#include "modules/limits/allotment_table.h"
+#include "modules/limits/fraction_holder.h"
+#include "modules/limits/held_tokens.h"
+#include "modules/limits/organisation_limits.h"
+#include "modules/limits/owner_link.h"
+#include "modules/limits/shard_owner.h"
+
+#include <array>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace cowslipline {
+
+/// The holder's side: admits requests with tokens of the owner, or of the own
+/// fraction while no owner holds it.
+class token_client
+{
+public:
+  token_client(scheduler& aScheduler,
+               std::shared_ptr<peer_channel> aChannel,
+               std::shared_ptr<membership> aMembership,
+               const organisation_limits& aLimits,
+               allotment_table& aTable,
+               fraction_holder& aHolder,
+               shard_owner& aOwner);
+
+  /// Errors: errc::RateLimited; errc::NotReady when no owner answers and this
+  /// instance has no fraction of its own.
+  result<void> Admit(const std::string& aOrganisation,
+                     duration aWait,
+                     yield_context aYield);
+
+  /// When a refused request may be sent again.
+  duration RetryAfter(const std::string& aOrganisation) const;
+
+  /// Forgets organisations that are not in use.
+  void DropIdle();
+
+  std::size_t UseCount() const { return mUses.size(); }
+
+private:
+  enum class wait_state
+  {
+    Waiting,
+    Admitted,
+    Refused,
+  };
+  struct waiter
+  {
+    wait_state mState = wait_state::Waiting;
+    steady_time mDeadline;
+    event mDone;
+  };
+  /// An organisation in use at this instance.
+  struct use
+  {
+    std::deque<waiter*> mWaiters; ///< First come, first served.
+    held_tokens mTokens;
+    double mPerSecond = 0; ///< Recent tokens used per second.
+    steady_time mUsedAt{ duration(0) };
+    /// No token is expected before.
+    steady_time mDryUntil{ duration(0) };
+    bool mIsRetryPlanned = false;
+  };
+
+  bool Take(const std::string& aOrganisation,
+            const rate_limits& aLimits,
+            use& aUse);
+  void NoteUse(use& aUse) const;
+  double RecentUse(const use& aUse) const;
+  bool WaitForToken(use& aUse, duration aWait, yield_context aYield);
+  void ServeWaiters(const std::string& aOrganisation, use& aUse);
+  void RefuseLateWaiters(use& aUse);
+  void AskAhead(const std::string& aOrganisation,
+                const rate_limits& aLimits,
+                use& aUse);
+  double AheadTarget(const rate_limits& aLimits, const use& aUse) const;
+  std::uint32_t Wanted(const std::string& aOrganisation, const use& aUse) const;
+  void ReportFinished(const std::string& aOrganisation, use& aUse);
+
+  owner_link& LinkTo(const instance_name& aOwner);
+  owner_link& LinkFor(const std::string& aOrganisation);
+  const instance_name& OwnerOf(shard_index aShard);
+  void Ask(const std::string& aOrganisation, use& aUse);
+  void PlanRetry(const std::string& aOrganisation, use& aUse);
+  void StartWork(owner_link& aLink);
+  void Work(owner_link& aLink, yield_context aYield);
+  void WorkOnReports(owner_link& aLink, yield_context aYield);
+  token_request Collect(owner_link& aLink);
+  void Exchange(owner_link& aLink, yield_context aYield);
+  void Apply(owner_link& aLink,
+             const token_request& aRequest,
+             const token_reply& aReply,
+             steady_time aSent);
+  void ApplyItem(const owner_link& aLink,
+                 const std::string& aOrganisation,
+                 std::uint64_t aOwnerBoot,
+                 const token_reply_item& aItem,
+                 steady_time aSent);
+  void AskAgain(const token_request& aRequest);
+
+  scheduler& mScheduler;
+  std::shared_ptr<peer_channel> mChannel;
+  std::shared_ptr<membership> mMembership;
+  const organisation_limits& mLimits;
+  allotment_table& mTable;
+  fraction_holder& mHolder;
+  shard_owner& mOwner;
+  std::map<std::string, use> mUses;
+  std::map<instance_name, owner_link> mLinks;
+  struct cached_owner
+  {
+    instance_name mName;
+    steady_time mUntil{ duration(0) };
+  };
+  std::array<cached_owner, kShardCount> mOwners;
+};
+
+} // namespace cowslipline
