Limits: queue the waiter before asking the owner

A task may start before Spawn() returns. The request was then collected without the waiter and asked for no tokens, so only the owner admitted.

--- a/modules/limits/allotment_table.cpp
+++ b/modules/limits/allotment_table.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr duration kRetryInterval = std::chrono::seconds(1);
+constexpr duration kConflictPausePerMember = std::chrono::milliseconds(10);
 constexpr duration kTick = std::chrono::seconds(1);
 constexpr duration kReadInterval = std::chrono::seconds(10);
 /// Reads of the table by the whole fleet stay below 4/s as it grows.
@@ -42,9 +43,7 @@
 {
   while (!mIsLeaving) {
     const auto outcome = Refresh(aYield);
-    const bool isUnsettled = !outcome || NeedsConfirmation();
-    const auto end =
-      mScheduler.Now() + (isUnsettled ? kRetryInterval : Interval());
+    const auto end = mScheduler.Now() + PauseAfter(outcome);
     bool isWoken = false;
     while (!isWoken && !mIsLeaving && mScheduler.Now() < end) {
       const auto left = std::min(end - mScheduler.Now(), kTick);
@@ -328,6 +327,19 @@
   }
 }
 
+duration
+allotment_table::PauseAfter(const result<void>& aOutcome)
+{
+  if (!aOutcome && aOutcome.error() == errc::StoreConflict) {
+    // Spread over a time that grows with the fleet, so that instances which
+    // start together do not conflict again.
+    const auto members = mMembership->LiveMembers().size() + 1;
+    return kConflictPausePerMember *
+           static_cast<int>(1 + mRandom.Below(members));
+  }
+  return !aOutcome || NeedsConfirmation() ? kRetryInterval : Interval();
+}
+
 duration
 allotment_table::Interval()
 {
--- a/modules/limits/allotment_table.h
+++ b/modules/limits/allotment_table.h
@@ -77,6 +77,7 @@
   bool HearsMostHolders() const;
   void Observe();
   void Use(unsigned aUnits);
+  duration PauseAfter(const result<void>& aOutcome);
   duration Interval();
   const instance_name& Self() const { return mMembership->Self().mName; }
   std::vector<instance_name> LiveNames() const;
--- a/modules/limits/token_client.cpp
+++ b/modules/limits/token_client.cpp
@@ -58,15 +58,9 @@
     return {};
   }
   const auto now = mScheduler.Now();
-  if (aWait > duration(0) && use.mDryUntil <= now + aWait) {
-    if (use.mDryUntil <= now) {
-      Ask(aOrganisation, use);
-    } else {
-      PlanRetry(aOrganisation, use);
-    }
-    if (WaitForToken(use, aWait, aYield)) {
-      return {};
-    }
+  if (aWait > duration(0) && use.mDryUntil <= now + aWait &&
+      WaitForToken(aOrganisation, use, aWait, aYield)) {
+    return {};
   }
   const bool hasAuthority =
     mHolder.Units() > 0 || !LinkFor(aOrganisation).IsFailing();
@@ -138,11 +132,16 @@
 }
 
 bool
-token_client::WaitForToken(use& aUse, duration aWait, yield_context aYield)
+token_client::WaitForToken(const std::string& aOrganisation,
+                           use& aUse,
+                           duration aWait,
+                           yield_context aYield)
 {
   waiter self;
   self.mDeadline = mScheduler.Now() + aWait;
+  // Tasks may start before Spawn() returns, so the waiter must be known first.
   aUse.mWaiters.push_back(&self);
+  PlanRetry(aOrganisation, aUse);
   while (self.mState == wait_state::Waiting) {
     const auto left = self.mDeadline - mScheduler.Now();
     if (!self.mDone.Wait(mScheduler, left, aYield)) {
@@ -191,7 +190,7 @@
   const auto now = mScheduler.Now();
   if (target >= 1 && aUse.mDryUntil <= now &&
       aUse.mTokens.Count(now) < target / 2) {
-    Ask(aOrganisation, aUse);
+    Ask(aOrganisation);
   }
 }
 
@@ -246,7 +245,7 @@
 }
 
 void
-token_client::Ask(const std::string& aOrganisation, use& /*aUse*/)
+token_client::Ask(const std::string& aOrganisation)
 {
   auto& link = LinkFor(aOrganisation);
   link.Want(aOrganisation);
@@ -259,6 +258,10 @@
   if (aUse.mIsRetryPlanned) {
     return;
   }
+  if (aUse.mDryUntil <= mScheduler.Now()) {
+    Ask(aOrganisation);
+    return;
+  }
   aUse.mIsRetryPlanned = true;
   mScheduler.Spawn([this, aOrganisation, &aUse](yield_context aYield) {
     while (mScheduler.Now() < aUse.mDryUntil && !aUse.mWaiters.empty()) {
@@ -267,7 +270,7 @@
     aUse.mIsRetryPlanned = false;
     ServeWaiters(aOrganisation, aUse);
     if (!aUse.mWaiters.empty()) {
-      Ask(aOrganisation, aUse);
+      Ask(aOrganisation);
     }
   });
 }
@@ -412,7 +415,7 @@
   for (const auto& item : aRequest.mItems) {
     const auto found = mUses.find(item.mOrganisation);
     if (found != mUses.end() && !found->second.mWaiters.empty()) {
-      Ask(item.mOrganisation, found->second);
+      Ask(item.mOrganisation);
     }
   }
 }
--- a/modules/limits/token_client.h
+++ b/modules/limits/token_client.h
@@ -76,7 +76,10 @@
             use& aUse);
   void NoteUse(use& aUse) const;
   double RecentUse(const use& aUse) const;
-  bool WaitForToken(use& aUse, duration aWait, yield_context aYield);
+  bool WaitForToken(const std::string& aOrganisation,
+                    use& aUse,
+                    duration aWait,
+                    yield_context aYield);
   void ServeWaiters(const std::string& aOrganisation, use& aUse);
   void RefuseLateWaiters(use& aUse);
   void AskAhead(const std::string& aOrganisation,
@@ -89,7 +92,7 @@
   owner_link& LinkTo(const instance_name& aOwner);
   owner_link& LinkFor(const std::string& aOrganisation);
   const instance_name& OwnerOf(shard_index aShard);
-  void Ask(const std::string& aOrganisation, use& aUse);
+  void Ask(const std::string& aOrganisation);
   void PlanRetry(const std::string& aOrganisation, use& aUse);
   void StartWork(owner_link& aLink);
   void Work(owner_link& aLink, yield_context aYield);
