--- a/tests/fakes/memory_peer_network.cpp
+++ b/tests/fakes/memory_peer_network.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr duration kPausePoll = std::chrono::milliseconds(1);
+constexpr duration kLongestPause = std::chrono::hours(1);
 
 /// Bytes of a frame around its payload: headers, names, tag.
 constexpr std::size_t kFrameOverheadBytes = 64;
@@ -156,6 +156,7 @@
     mPaused.insert(aName);
   } else {
     mPaused.erase(aName);
+    mResumed.Set();
   }
 }
 
@@ -190,7 +191,7 @@
                                      yield_context aYield)
 {
   while (mPaused.count(aName) > 0) {
-    mScheduler.SleepFor(kPausePoll, aYield);
+    mResumed.Wait(mScheduler, kLongestPause, aYield);
   }
 }
 
--- a/tests/fakes/memory_peer_network.h
+++ b/tests/fakes/memory_peer_network.h
@@ -57,6 +57,7 @@
   double mLoss = 0;
   std::set<std::pair<instance_name, instance_name>> mCuts;
   std::set<instance_name> mPaused;
+  event mResumed;
   std::map<instance_name, std::shared_ptr<class memory_peer_channel>> mChannels;
   std::map<instance_name, link_counts> mSent;
 };
