Add the outcomes module: at-most-once records

Claims and outcomes go to the owner of the record's shard, which commits them in groups by compare-and-swap on outcomes/<shard>/head. The open segment is sealed into immutable objects, a new owner rebuilds its index from them, and outcomes are delivered until they are committed.

A sealed number that an outdated owner took with another content is skipped and listed in the head: overwriting it would let two owners race on a segment.

--- /dev/null
+++ b/modules/outcomes/outcome_messages.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "modules/outcomes/segment_format.h"
+
+namespace cowslipline {
+
+constexpr char kClaimService[] = "outcomes.claim";
+constexpr char kFinishService[] = "outcomes.finish";
+
+struct claim_request
+{
+  attempt mAttempt;
+  /// How long the attempt may run, and how long the sender waits.
+  duration mDeadline{ 0 };
+  duration mWait{ 0 };
+};
+
+enum class claim_status
+{
+  Granted,
+  Finished,
+  InProgress,
+  OutcomeUnknown,
+  KeyReused,
+  NotOwner,
+  StoreUnavailable,
+  RecordsFull,
+  NotReady,
+};
+
+struct claim_reply
+{
+  claim_status mStatus = claim_status::NotReady;
+  /// The claim was not granted, yet its record may exist or come to exist.
+  bool mMayBeRecorded = false;
+  recorded_outcome mOutcome;
+};
+
+/// Outcomes and releases for one shard.
+struct report_request
+{
+  std::uint32_t mShard = 0;
+  duration mWait{ 0 };
+  std::vector<log_entry> mEntries;
+};
+
+enum class report_status
+{
+  Committed,
+  NotOwner,
+  NotCommitted,
+};
+
+// Errors of the decoders: errc::MessageMalformed.
+std::string
+EncodeClaimRequest(const claim_request& aRequest);
+result<claim_request>
+DecodeClaimRequest(std::string_view aBytes);
+std::string
+EncodeClaimReply(const claim_reply& aReply);
+result<claim_reply>
+DecodeClaimReply(std::string_view aBytes);
+std::string
+EncodeReportRequest(const report_request& aRequest);
+result<report_request>
+DecodeReportRequest(std::string_view aBytes);
+std::string
+EncodeReportStatus(report_status aStatus);
+result<report_status>
+DecodeReportStatus(std::string_view aBytes);
+
+} // namespace cowslipline
--- /dev/null
+++ b/modules/outcomes/shard_owner.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "modules/fleet/membership.h"
+#include "modules/outcomes/record_shard.h"
+
+#include <map>
+#include <memory>
+
+namespace cowslipline {
+
+/// The shards that this instance owns now, created with the first message
+/// and dropped when idle and owned by another instance.
+class shard_owner
+{
+public:
+  shard_owner(outcome_environment aEnvironment,
+              std::shared_ptr<membership> aMembership,
+              std::uint64_t aSeed);
+
+  claim_reply Claim(const claim_request& aRequest, yield_context aYield);
+  report_status Report(const report_request& aRequest, yield_context aYield);
+
+  /// Memory of the indexes of all owned shards, estimated.
+  std::size_t IndexBytes() const;
+
+private:
+  bool IsOwn(shard_index aShard) const;
+  std::shared_ptr<record_shard> FindShard(shard_index aShard);
+  void DropForeignShards();
+
+  outcome_environment mEnvironment;
+  std::shared_ptr<membership> mMembership;
+  random_source mRandom;
+  std::map<shard_index, std::shared_ptr<record_shard>> mShards;
+  steady_time mLastDrop{};
+};
+
+} // namespace cowslipline
--- /dev/null
+++ b/tests/outcomes/outcome_fleet.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "core/manual_scheduler.h"
+#include "modules/outcomes/fleet_outcome_records.h"
+#include "tests/fakes/memory_key_value_store.h"
+#include "tests/fakes/memory_peer_network.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cowslipline::testing {
+
+/// Store client that runs a hook before a write is sent and after its answer
+/// has arrived, so that a test can pause an owner at either place.
+class hooked_store final : public key_value_store
+{
+public:
+  using hook = std::function<void(std::string_view aKey, yield_context aYield)>;
+
+  explicit hooked_store(std::shared_ptr<memory_key_value_store> aStore)
+    : mStore(std::move(aStore))
+  {
+  }
+
+  result<std::optional<versioned_value>> Read(std::string_view aKey,
+                                              yield_context aYield) override;
+  result<std::uint64_t> CompareAndSwap(std::string_view aKey,
+                                       std::uint64_t aExpected,
+                                       std::string_view aValue,
+                                       yield_context aYield) override;
+  result<std::optional<versioned_value>> Watch(std::string_view aKey,
+                                               std::uint64_t aAfter,
+                                               duration aWait,
+                                               yield_context aYield) override;
+  result<void> Remove(std::string_view aKey,
+                      std::uint64_t aExpected,
+                      yield_context aYield) override;
+
+  hook mBeforeWrite;
+  hook mAfterWrite;
+
+private:
+  std::shared_ptr<memory_key_value_store> mStore;
+};
+
+/// A claim that runs as a task of its own.
+struct started_claim
+{
+  std::optional<result<claim_answer>> mAnswer;
+};
+
+struct test_instance
+{
+  std::shared_ptr<memory_key_value_store> mClient;
+  std::shared_ptr<hooked_store> mStore;
+  std::shared_ptr<fixed_membership> mMembership;
+  std::shared_ptr<peer_channel> mChannel;
+  std::shared_ptr<metrics> mMetrics;
+  std::shared_ptr<shard_owner> mOwner;
+  std::shared_ptr<fleet_outcome_records> mRecords;
+};
+
+/// Instances "i0", "i1", ... that share a store and a network in simulated
+/// time.
+class outcome_fleet
+{
+public:
+  outcome_fleet(std::size_t aCount,
+                std::uint64_t aSeed,
+                const outcome_settings& aSettings = {});
+
+  test_instance& At(std::size_t aIndex) { return mInstances.at(aIndex); }
+  std::size_t Size() const { return mInstances.size(); }
+  /// A new process under the same name.
+  void Restart(std::size_t aIndex);
+  /// The instance's membership view, given by the indexes of the live ones.
+  void SetView(std::size_t aIndex, const std::vector<std::size_t>& aLive);
+  void SetAllViews(const std::vector<std::size_t>& aLive);
+  std::size_t OwnerOf(const std::string& aKey);
+
+  std::shared_ptr<started_claim> Start(std::size_t aIndex,
+                                       const std::string& aKey,
+                                       duration aWait,
+                                       std::uint64_t aFingerprint = 1);
+  result<claim_answer> Claim(std::size_t aIndex,
+                             const std::string& aKey,
+                             duration aWait = std::chrono::seconds(2),
+                             std::uint64_t aFingerprint = 1);
+  void Finish(std::size_t aIndex,
+              const claim_answer& aAnswer,
+              int aStatus,
+              const std::string& aBody);
+
+  static std::string NameOf(std::size_t aIndex);
+  static claim MakeClaim(const std::string& aKey, std::uint64_t aFingerprint);
+
+  manual_scheduler mClock;
+  memory_peer_network mNetwork;
+  std::shared_ptr<memory_store_content> mContent;
+
+private:
+  member MemberOf(std::size_t aIndex) const;
+  void Build(std::size_t aIndex);
+
+  outcome_settings mSettings;
+  std::uint64_t mSeed;
+  std::vector<std::uint64_t> mBoots;
+  std::vector<test_instance> mInstances;
+};
+
+} // namespace cowslipline::testing
