--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -4,9 +4,11 @@
 #include "core/time.h"
 
 #include <chrono>
+#include <condition_variable>
 #include <functional>
-#include <future>
 #include <memory>
+#include <mutex>
+#include <optional>
 #include <type_traits>
 #include <utility>
 #include <vector>
@@ -77,24 +79,56 @@
 
 /// Runs a function as a task on the control thread and blocks the calling
 /// thread until it returns or the timeout passes. After a timeout the task
-/// still runs to its end; its result is dropped.
+/// still runs to its end; its result then goes to aUnclaimed on the control
+/// thread, which gives back what the result holds.
 /// Errors: errc::Timeout, and those of the function.
-template<typename F>
+template<typename F, typename U>
 auto
-BlockingCall(scheduler& aScheduler, duration aTimeout, F aFunction)
-  -> std::invoke_result_t<F, yield_context>
+BlockingCall(scheduler& aScheduler,
+             duration aTimeout,
+             F aFunction,
+             U aUnclaimed) -> std::invoke_result_t<F, yield_context>
 {
   using result_type = std::invoke_result_t<F, yield_context>;
-  auto promise = std::make_shared<std::promise<result_type>>();
-  auto future = promise->get_future();
+  struct shared_state
+  {
+    std::mutex mMutex;
+    std::condition_variable mReturned;
+    std::optional<result_type> mResult;
+    bool mIsAbandoned = false;
+  };
+  auto state = std::make_shared<shared_state>();
   aScheduler.Spawn(
-    [promise, function = std::move(aFunction)](yield_context aYield) mutable {
-      promise->set_value(function(aYield));
+    [state, function = std::move(aFunction), unclaimed = std::move(aUnclaimed)](
+      yield_context aYield) mutable {
+      auto value = function(aYield);
+      std::unique_lock<std::mutex> lock(state->mMutex);
+      if (state->mIsAbandoned) {
+        lock.unlock();
+        unclaimed(std::move(value));
+        return;
+      }
+      state->mResult = std::move(value);
+      state->mReturned.notify_one();
     });
-  if (future.wait_for(aTimeout) != std::future_status::ready) {
+  std::unique_lock<std::mutex> lock(state->mMutex);
+  const bool isInTime = state->mReturned.wait_for(
+    lock, aTimeout, [&state] { return state->mResult.has_value(); });
+  if (!isInTime) {
+    state->mIsAbandoned = true;
     return Fail(errc::Timeout);
   }
-  return future.get();
+  return std::move(*state->mResult);
+}
+
+/// As above, for results that need not be given back.
+template<typename F>
+auto
+BlockingCall(scheduler& aScheduler, duration aTimeout, F aFunction)
+  -> std::invoke_result_t<F, yield_context>
+{
+  return BlockingCall(
+    aScheduler, aTimeout, std::move(aFunction), [](const auto&) {});
 }
 
 } // namespace cowslipline
--- a/modules/fleet/configuration_codec.h
+++ b/modules/fleet/configuration_codec.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/result.h"
+#include "core/scheduler.h"
 #include "modules/configuration/snapshot.h"
 
 #include <cstdint>
@@ -19,7 +19,7 @@
   std::vector<std::string> mChunkNames;
 };
 
-using chunk_map = std::map<std::string, std::string>;
+using named_chunks = std::map<std::string, std::string>;
 
 /// Reads configuration heads and chunks. Distribution treats both as bytes.
 class configuration_codec
@@ -30,10 +30,12 @@
   /// Errors: errc::ConfigurationInvalid.
   virtual result<head_summary> ReadHead(std::string_view aHead) const = 0;
 
-  /// Checks each chunk against its name.
+  /// Checks each chunk against its name. May suspend the task, since decoding
+  /// takes hundreds of milliseconds at the target size.
   /// Errors: errc::ConfigurationInvalid.
   virtual result<snapshot_pointer> Decode(std::string_view aHead,
-                                          const chunk_map& aChunks) const = 0;
+                                          const named_chunks& aChunks,
+                                          yield_context aYield) const = 0;
 
   virtual bool IsChunkIntact(const std::string& aName,
                              std::string_view aContent) const = 0;
--- a/modules/fleet/configuration_distributor.cpp
+++ b/modules/fleet/configuration_distributor.cpp
@@ -232,14 +232,10 @@
 bool
 configuration_distributor::IsWatcher() const
 {
-  const auto role = Hash64("config-watch");
-  const auto own = RendezvousWeight(mMembership->Self().mName, role);
-  const auto members = mMembership->LiveMembers();
-  const auto higher =
-    std::count_if(members.begin(), members.end(), [&](const member& aMember) {
-      return RendezvousWeight(aMember.mName, role) > own;
-    });
-  return static_cast<std::size_t>(higher) < kWatchers;
+  return HasRole(mMembership->LiveMembers(),
+                 mMembership->Self().mName,
+                 "config-watch",
+                 kWatchers);
 }
 
 std::optional<duration>
@@ -322,7 +318,7 @@
   if (summary->mVersion <= Current()->mVersion) {
     return {};
   }
-  chunk_map chunks;
+  named_chunks chunks;
   for (const auto& name : summary->mChunkNames) {
     const auto known = mChunks.find(name);
     if (known != mChunks.end()) {
@@ -333,7 +329,7 @@
     COWSLIPLINE_PROPAGATE(content);
     chunks.emplace(name, std::move(*content));
   }
-  auto decoded = mCodec->Decode(aHead, chunks);
+  auto decoded = mCodec->Decode(aHead, chunks, aYield);
   COWSLIPLINE_PROPAGATE(decoded);
   // Another task may have put a newer version in force meanwhile.
   if ((*decoded)->mVersion > Current()->mVersion) {
@@ -365,7 +361,7 @@
 void
 configuration_distributor::PutInForce(snapshot_pointer aSnapshot,
                                       const std::string& aHead,
-                                      chunk_map aChunks)
+                                      named_chunks aChunks)
 {
   const auto version = aSnapshot->mVersion;
   COWSLIPLINE_INVARIANT(version > Current()->mVersion,
--- a/modules/fleet/configuration_distributor.h
+++ b/modules/fleet/configuration_distributor.h
@@ -69,7 +69,7 @@
                                  yield_context aYield);
   void PutInForce(snapshot_pointer aSnapshot,
                   const std::string& aHead,
-                  chunk_map aChunks);
+                  named_chunks aChunks);
 
   scheduler& mScheduler;
   metrics& mMetrics;
@@ -83,7 +83,7 @@
   snapshot_pointer mSnapshot;
 
   std::string mHead;
-  chunk_map mChunks;
+  named_chunks mChunks;
   std::uint64_t mStoreVersion = 0;
   bool mIsFetching = false;
   bool mIsConfirmed = false;
--- a/modules/fleet/membership.cpp
+++ b/modules/fleet/membership.cpp
@@ -1,5 +1,7 @@
 #include "modules/fleet/membership.h"
 
+#include <algorithm>
+
 namespace cowslipline {
 
 instance_name
@@ -17,4 +19,19 @@
   return owner == nullptr ? instance_name() : owner->mName;
 }
 
+bool
+HasRole(const std::vector<member>& aMembers,
+        const instance_name& aName,
+        std::string_view aRole,
+        std::size_t aCount)
+{
+  const auto role = Hash64(aRole);
+  const auto own = RendezvousWeight(aName, role);
+  const auto higher =
+    std::count_if(aMembers.begin(), aMembers.end(), [&](const member& aMember) {
+      return RendezvousWeight(aMember.mName, role) > own;
+    });
+  return static_cast<std::size_t>(higher) < aCount;
+}
+
 } // namespace cowslipline
--- a/modules/fleet/membership.h
+++ b/modules/fleet/membership.h
@@ -36,6 +36,14 @@
 instance_name
 OwnerAmong(const std::vector<member>& aMembers, shard_index aShard);
 
+/// Whether the member is among the aCount ones with the highest rendezvous
+/// weight for a role.
+bool
+HasRole(const std::vector<member>& aMembers,
+        const instance_name& aName,
+        std::string_view aRole,
+        std::size_t aCount);
+
 /// What this instance knows about the others. The view lags and differs
 /// between instances; nothing may depend on it for safety.
 class membership
--- a/modules/fleet/membership_service.cpp
+++ b/modules/fleet/membership_service.cpp
@@ -50,7 +50,7 @@
 constexpr int kGapSmoothing = 8;
 
 std::uint32_t
-NameHash(std::string_view aName)
+ShortHash(std::string_view aName)
 {
   return static_cast<std::uint32_t>(Hash64(aName));
 }
@@ -68,7 +68,7 @@
   , mRandom(mOptions.mRandomSeed)
   , mLastContact(aScheduler.Now())
 {
-  mNameByHash[NameHash(mOptions.mSelf.mName)] = mOptions.mSelf.mName;
+  mNameByHash[ShortHash(mOptions.mSelf.mName)] = mOptions.mSelf.mName;
 }
 
 void
@@ -200,14 +200,14 @@
                     });
   const auto& self = mOptions.mSelf;
   auto rows = nlohmann::json::array();
-  rows.push_back({ NameHash(self.mName),
+  rows.push_back({ ShortHash(self.mName),
                    self.mBoot,
                    mHeartbeat,
                    static_cast<int>(self.mState) });
   for (std::size_t i = 0; i < count; ++i) {
     const auto& member = entries[i]->mMember;
     ++entries[i]->mSentCount;
-    rows.push_back({ NameHash(member.mName),
+    rows.push_back({ ShortHash(member.mName),
                      member.mBoot,
                      entries[i]->mHeartbeat,
                      static_cast<int>(member.mState) });
@@ -398,7 +398,7 @@
   if (entry.mMember.mName.empty()) {
     entry.mMember.mName = aName;
     entry.mChangedAt = mScheduler.Now();
-    mNameByHash[NameHash(aName)] = aName;
+    mNameByHash[ShortHash(aName)] = aName;
   }
   return entry;
 }
@@ -597,7 +597,7 @@
       (absent && now - std::max(*absent, heard) > 2 * kForgetAbsent);
     const bool isForgotten = isGone && !entry->second.mIsListed;
     if (isForgotten) {
-      mNameByHash.erase(NameHash(entry->first));
+      mNameByHash.erase(ShortHash(entry->first));
     }
     entry = isForgotten ? mEntries.erase(entry) : std::next(entry);
   }
--- a/modules/outcomes/fleet_outcome_records.cpp
+++ b/modules/outcomes/fleet_outcome_records.cpp
@@ -69,7 +69,7 @@
 
 fleet_outcome_records::fleet_outcome_records(
   services aServices,
-  std::shared_ptr<shard_owner> aOwner,
+  std::shared_ptr<record_owner> aOwner,
   std::uint64_t aSeed)
   : mServices(std::move(aServices))
   , mOwner(std::move(aOwner))
@@ -168,7 +168,7 @@
 }
 
 claim_reply
-fleet_outcome_records::Ask(const claim_request& aRequest, yield_context aYield)
+fleet_outcome_records::Ask(const claim_message& aRequest, yield_context aYield)
 {
   const auto& members = *mServices.mMembership;
   const auto owner = members.OwnerOf(ShardOf(AsView(aRequest.mAttempt.mKey)));
@@ -181,7 +181,7 @@
 
 claim_reply
 fleet_outcome_records::AskPeer(const instance_name& aOwner,
-                               const claim_request& aRequest,
+                               const claim_message& aRequest,
                                yield_context aYield)
 {
   const auto answer = mServices.mPeers->Call(aOwner,
--- a/modules/outcomes/fleet_outcome_records.h
+++ b/modules/outcomes/fleet_outcome_records.h
@@ -21,7 +21,7 @@
   };
 
   fleet_outcome_records(services aServices,
-                        std::shared_ptr<shard_owner> aOwner,
+                        std::shared_ptr<record_owner> aOwner,
                         std::uint64_t aSeed);
 
   result<claim_answer> Claim(const claim& aClaim,
@@ -41,13 +41,13 @@
                         duration aDeadline,
                         steady_time aEnd,
                         yield_context aYield);
-  claim_reply Ask(const claim_request& aRequest, yield_context aYield);
+  claim_reply Ask(const claim_message& aRequest, yield_context aYield);
   claim_reply AskPeer(const instance_name& aOwner,
-                      const claim_request& aRequest,
+                      const claim_message& aRequest,
                       yield_context aYield);
 
   services mServices;
-  std::shared_ptr<shard_owner> mOwner;
+  std::shared_ptr<record_owner> mOwner;
   random_source mRandom;
   std::uint64_t mInstanceHash;
   std::shared_ptr<report_queue> mReports;
--- a/modules/outcomes/outcome_messages.cpp
+++ b/modules/outcomes/outcome_messages.cpp
@@ -29,7 +29,7 @@
 } // namespace
 
 std::string
-EncodeClaimRequest(const claim_request& aRequest)
+EncodeClaimRequest(const claim_message& aRequest)
 {
   // An attempt is encoded as the claim entry that it becomes.
   const claim_entry entry{ aRequest.mAttempt.mKey,
@@ -41,17 +41,17 @@
                       { "w", aRequest.mWait.count() } });
 }
 
-result<claim_request>
+result<claim_message>
 DecodeClaimRequest(std::string_view aBytes)
 {
-  return ParseCbor(aBytes, [](const json& aValue) -> result<claim_request> {
+  return ParseCbor(aBytes, [](const json& aValue) -> result<claim_message> {
     const auto decoded = EntryFromJson(aValue.at("c"));
     COWSLIPLINE_PROPAGATE(decoded);
     const auto* entry = std::get_if<claim_entry>(&*decoded);
     if (entry == nullptr) {
       return Fail(errc::MessageMalformed);
     }
-    return claim_request{ attempt{
+    return claim_message{ attempt{
                             entry->mKey, entry->mAttempt, entry->mFingerprint },
                           DurationOf(aValue.at("d")),
                           DurationOf(aValue.at("w")) };
--- a/modules/outcomes/outcome_messages.h
+++ b/modules/outcomes/outcome_messages.h
@@ -7,7 +7,7 @@
 constexpr char kClaimService[] = "outcomes.claim";
 constexpr char kFinishService[] = "outcomes.finish";
 
-struct claim_request
+struct claim_message
 {
   attempt mAttempt;
   /// How long the attempt may run, and how long the sender waits.
@@ -53,8 +53,8 @@
 
 // Errors of the decoders: errc::MessageMalformed.
 std::string
-EncodeClaimRequest(const claim_request& aRequest);
-result<claim_request>
+EncodeClaimRequest(const claim_message& aRequest);
+result<claim_message>
 DecodeClaimRequest(std::string_view aBytes);
 std::string
 EncodeClaimReply(const claim_reply& aReply);
--- a/modules/outcomes/outcomes.cpp
+++ b/modules/outcomes/outcomes.cpp
@@ -33,7 +33,7 @@
   COWSLIPLINE_PROPAGATE(counters);
   const auto secret = aKernel.Find<std::string>("fleet_secret");
   COWSLIPLINE_PROPAGATE(secret);
-  auto owner = std::make_shared<shard_owner>(
+  auto owner = std::make_shared<record_owner>(
     outcome_environment{ clock->get(), *store, *counters, aSettings },
     *members,
     DrawSeed());
--- a/modules/outcomes/shard_owner.cpp
+++ b/modules/outcomes/record_owner.cpp
@@ -1,4 +1,4 @@
-#include "modules/outcomes/shard_owner.h"
+#include "modules/outcomes/record_owner.h"
 
 namespace cowslipline {
 
@@ -36,7 +36,7 @@
 
 } // namespace
 
-shard_owner::shard_owner(outcome_environment aEnvironment,
+record_owner::record_owner(outcome_environment aEnvironment,
                          std::shared_ptr<membership> aMembership,
                          std::uint64_t aSeed)
   : mEnvironment(std::move(aEnvironment))
@@ -46,7 +46,7 @@
 }
 
 claim_reply
-shard_owner::Claim(const claim_request& aRequest, yield_context aYield)
+record_owner::Claim(const claim_message& aRequest, yield_context aYield)
 {
   const auto shard = ShardOf(AsView(aRequest.mAttempt.mKey));
   claim_reply reply{ claim_status::NotOwner, false, {} };
@@ -58,7 +58,7 @@
 }
 
 report_status
-shard_owner::Report(const report_request& aRequest, yield_context aYield)
+record_owner::Report(const report_request& aRequest, yield_context aYield)
 {
   if (!IsOwn(aRequest.mShard)) {
     return report_status::NotOwner;
@@ -70,13 +70,13 @@
 }
 
 bool
-shard_owner::IsOwn(shard_index aShard) const
+record_owner::IsOwn(shard_index aShard) const
 {
   return mMembership->OwnerOf(aShard) == mMembership->Self().mName;
 }
 
 std::shared_ptr<record_shard>
-shard_owner::FindShard(shard_index aShard)
+record_owner::FindShard(shard_index aShard)
 {
   DropForeignShards();
   auto& shard = mShards[aShard];
@@ -88,7 +88,7 @@
 }
 
 void
-shard_owner::DropForeignShards()
+record_owner::DropForeignShards()
 {
   const auto now = mEnvironment.mScheduler->Now();
   if (now - mLastDrop < kDropInterval) {
@@ -102,7 +102,7 @@
 }
 
 std::size_t
-shard_owner::IndexBytes() const
+record_owner::IndexBytes() const
 {
   std::size_t bytes = 0;
   for (const auto& [number, shard] : mShards) {
--- a/modules/outcomes/shard_owner.h
+++ b/modules/outcomes/record_owner.h
@@ -10,14 +10,14 @@
 
 /// The shards that this instance owns now, created with the first message
 /// and dropped when idle and owned by another instance.
-class shard_owner
+class record_owner
 {
 public:
-  shard_owner(outcome_environment aEnvironment,
+  record_owner(outcome_environment aEnvironment,
               std::shared_ptr<membership> aMembership,
               std::uint64_t aSeed);
 
-  claim_reply Claim(const claim_request& aRequest, yield_context aYield);
+  claim_reply Claim(const claim_message& aRequest, yield_context aYield);
   report_status Report(const report_request& aRequest, yield_context aYield);
 
   /// Memory of the indexes of all owned shards, estimated.
--- a/modules/outcomes/record_shard.cpp
+++ b/modules/outcomes/record_shard.cpp
@@ -32,7 +32,7 @@
 }
 
 claim_reply
-record_shard::Claim(const claim_request& aRequest, yield_context aYield)
+record_shard::Claim(const claim_message& aRequest, yield_context aYield)
 {
   const auto& attempt = aRequest.mAttempt;
   const auto pending = std::make_shared<pending_claim>();
--- a/modules/outcomes/record_shard.h
+++ b/modules/outcomes/record_shard.h
@@ -19,7 +19,7 @@
                std::uint64_t aSeed);
 
   /// Suspends the task until the claim is decided, at most for its wait.
-  claim_reply Claim(const claim_request& aRequest, yield_context aYield);
+  claim_reply Claim(const claim_message& aRequest, yield_context aYield);
 
   /// Suspends the task until the entries are committed. False after the wait.
   bool Report(const std::vector<log_entry>& aEntries,
--- a/modules/outcomes/report_queue.cpp
+++ b/modules/outcomes/report_queue.cpp
@@ -33,7 +33,7 @@
 report_queue::report_queue(scheduler& aScheduler,
                            std::shared_ptr<peer_channel> aPeers,
                            std::shared_ptr<membership> aMembership,
-                           std::shared_ptr<shard_owner> aOwner,
+                           std::shared_ptr<record_owner> aOwner,
                            std::uint64_t aSeed)
   : mScheduler(aScheduler)
   , mPeers(std::move(aPeers))
--- a/modules/outcomes/report_queue.h
+++ b/modules/outcomes/report_queue.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "modules/fleet/peer_channel.h"
-#include "modules/outcomes/shard_owner.h"
+#include "modules/outcomes/record_owner.h"
 
 #include <array>
 #include <deque>
@@ -17,7 +17,7 @@
   report_queue(scheduler& aScheduler,
                std::shared_ptr<peer_channel> aPeers,
                std::shared_ptr<membership> aMembership,
-               std::shared_ptr<shard_owner> aOwner,
+               std::shared_ptr<record_owner> aOwner,
                std::uint64_t aSeed);
 
   void AddFinish(finish_entry aEntry);
@@ -43,7 +43,7 @@
   scheduler& mScheduler;
   std::shared_ptr<peer_channel> mPeers;
   std::shared_ptr<membership> mMembership;
-  std::shared_ptr<shard_owner> mOwner;
+  std::shared_ptr<record_owner> mOwner;
   random_source mRandom;
   std::array<lane, kShardCount> mLanes;
   std::size_t mSize = 0;
--- a/tests/core/test_scheduler.cpp
+++ b/tests/core/test_scheduler.cpp
@@ -1,6 +1,7 @@
 #include "core/manual_scheduler.h"
 #include "tests/story.h"
 
+#include <future>
 #include <string>
 #include <thread>
 
@@ -65,6 +66,20 @@
     CHECK(!answer.has_value());
     CHECK(answer.error() == errc::Timeout);
   }
+  SECTION("a result that comes too late is given back once")
+  {
+    std::promise<int> unclaimed;
+    const auto answer = BlockingCall(
+      control,
+      1ms,
+      [&](yield_context aYield) -> result<int> {
+        control.SleepFor(100ms, aYield);
+        return 9;
+      },
+      [&](const result<int>& aLate) { unclaimed.set_value(*aLate); });
+    CHECK(!answer.has_value());
+    LONGS_EQUAL(9, unclaimed.get_future().get());
+  }
   work.reset();
   thread.join();
 }
--- a/tests/fakes/plain_codec.cpp
+++ b/tests/fakes/plain_codec.cpp
@@ -20,7 +20,9 @@
 }
 
 result<snapshot_pointer>
-plain_codec::Decode(std::string_view aHead, const chunk_map& aChunks) const
+plain_codec::Decode(std::string_view aHead,
+                    const named_chunks& aChunks,
+                    yield_context /*aYield*/) const
 {
   const auto summary = ReadHead(aHead);
   if (!summary || summary->mChunkNames.size() != aChunks.size()) {
--- a/tests/fakes/plain_codec.h
+++ b/tests/fakes/plain_codec.h
@@ -11,7 +11,8 @@
 public:
   result<head_summary> ReadHead(std::string_view aHead) const override;
   result<snapshot_pointer> Decode(std::string_view aHead,
-                                  const chunk_map& aChunks) const override;
+                                  const named_chunks& aChunks,
+                                  yield_context aYield) const override;
   bool IsChunkIntact(const std::string& aName,
                      std::string_view aContent) const override
   {
--- a/tests/outcomes/outcome_fleet.cpp
+++ b/tests/outcomes/outcome_fleet.cpp
@@ -86,7 +86,7 @@
     std::make_shared<fixed_membership>(MemberOf(aIndex), live);
   instance.mChannel = mNetwork.Join(NameOf(aIndex));
   instance.mMetrics = std::make_shared<metrics>();
-  instance.mOwner = std::make_shared<shard_owner>(
+  instance.mOwner = std::make_shared<record_owner>(
     outcome_environment{
       &mClock, instance.mStore, instance.mMetrics, mSettings },
     instance.mMembership,
--- a/tests/outcomes/outcome_fleet.h
+++ b/tests/outcomes/outcome_fleet.h
@@ -58,7 +58,7 @@
   std::shared_ptr<fixed_membership> mMembership;
   std::shared_ptr<peer_channel> mChannel;
   std::shared_ptr<metrics> mMetrics;
-  std::shared_ptr<shard_owner> mOwner;
+  std::shared_ptr<record_owner> mOwner;
   std::shared_ptr<fleet_outcome_records> mRecords;
 };
 
