Test failures of upstreams, connections and the pipeline's rules

Cause: the promises about answers, orders and keys had no tests.

Conclusion: no order was sent twice at any of these failure points, and no refusal said "not run" after one that may have run.

--- a/tests/gateway/test_exchange.cpp
+++ b/tests/gateway/test_exchange.cpp
@@ -1,3 +1,4 @@
+#include "core/random.h"
 #include "tests/gateway/gateway_fixture.h"
 #include "tests/story.h"
 
@@ -37,3 +38,362 @@
     LONGS_EQUAL(3, upstream.Seen().size());
   }
 }
+
+namespace {
+
+constexpr std::string_view kIdempotencyKey = "Idempotency-Key: order-1\r\n";
+
+std::size_t
+CountOrders(const scripted_upstream& aUpstream)
+{
+  std::size_t count = 0;
+  for (const auto& request : aUpstream.Seen()) {
+    count += request.mHead.substr(0, 11) == "POST /order" ? 1 : 0;
+  }
+  return count;
+}
+
+struct failure_point
+{
+  std::string mName;
+  scripted_upstream::script mScript;
+  std::string mReason; ///< Of the refusal when nothing is left to try.
+  std::string mRan;
+};
+
+bool
+Hang(const http_message&, test_socket& aSocket)
+{
+  aSocket.IsClosedByPeer();
+  return false;
+}
+
+scripted_upstream::script
+Raw(std::string aBytes)
+{
+  return [bytes = std::move(aBytes)](const auto&, test_socket& aSocket) {
+    aSocket.Send(bytes);
+    return false;
+  };
+}
+
+std::vector<failure_point>
+FailurePoints()
+{
+  const auto answer = scripted_upstream::Answer;
+  return {
+    { "closes without an answer", Raw(""), "upstream_incomplete", "unknown" },
+    { "resets",
+      [](const auto&, test_socket& aSocket) {
+        aSocket.Reset();
+        return false;
+      },
+      "upstream_incomplete",
+      "unknown" },
+    { "cuts the head",
+      Raw("HTTP/1.1 200 O"),
+      "upstream_incomplete",
+      "unknown" },
+    { "cuts the body",
+      Raw("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"),
+      "upstream_incomplete",
+      "unknown" },
+    { "cuts a chunked body",
+      Raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"),
+      "upstream_incomplete",
+      "unknown" },
+    { "ends the body with the connection",
+      Raw("HTTP/1.1 200 OK\r\n\r\nmaybe whole"),
+      "upstream_incomplete",
+      "unknown" },
+    { "answers with two lengths",
+      Raw(
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"),
+      "upstream_wrong_answer",
+      "unknown" },
+    { "answers another request",
+      Raw(answer("x", "X-Request-Id: somebody-else\r\n", "200 OK")),
+      "upstream_wrong_answer",
+      "unknown" },
+    { "is not HTTP", Raw("hello\r\n\r\n"), "upstream_wrong_answer", "unknown" },
+    { "fails",
+      Raw(answer("x", "", "500 Internal Server Error")),
+      "upstream_failed",
+      "unknown" },
+    { "is busy without saying that it did not run",
+      Raw(answer("x", "", "503 Service Unavailable")),
+      "upstream_failed",
+      "unknown" },
+    { "sheds",
+      Raw(answer("x", "Cowslipline-Shed: not-run\r\n", "503 Busy")),
+      "overloaded",
+      "not_run" },
+    { "stays silent", Hang, "upstream_timeout", "unknown" },
+  };
+}
+
+} // namespace
+
+TEST_GROUP(failures){};
+
+// Guards against a request that runs twice (P8) and against refusals that say
+// "not run" although the request may have run (P7).
+TEST(failures, NeverSendOrdersTwice)
+{
+  for (const auto& point : FailurePoints()) {
+    SECTION(point.mName)
+    {
+      scripted_upstream failing(point.mScript);
+      scripted_upstream healthy;
+      gateway_fixture fixture(
+        { failing.Port(), healthy.Port() }, {}, std::chrono::milliseconds(300));
+      const auto answer =
+        fixture.Call("POST", "/order", "glass", kIdempotencyKey);
+      LONGS_EQUAL(1, CountOrders(failing));
+      if (point.mRan == "not_run") {
+        // Certainly not run: sent to the other target.
+        LONGS_EQUAL(200, answer.Status());
+        LONGS_EQUAL(1, CountOrders(healthy));
+        LONGS_EQUAL(1, fixture.mDecisions.mFinished);
+      } else {
+        STRCMP_EQUAL(point.mReason.c_str(),
+                     answer.Header("Cowslipline-Reason").c_str());
+        STRCMP_EQUAL("unknown", answer.Header("Cowslipline-Ran").c_str());
+        LONGS_EQUAL(0, CountOrders(healthy));
+        LONGS_EQUAL(0, fixture.mDecisions.mReleased);
+        // A resend is not run either.
+        const auto resend =
+          fixture.Call("POST", "/order", "glass", kIdempotencyKey);
+        STRCMP_EQUAL("outcome_unknown",
+                     resend.Header("Cowslipline-Reason").c_str());
+        LONGS_EQUAL(1, CountOrders(failing) + CountOrders(healthy));
+      }
+      LONGS_EQUAL(0, fixture.mDecisions.mSlotsTaken);
+    }
+  }
+}
+
+TEST(failures, AreToldTruthfullyAndLeaveQueriesARetry)
+{
+  for (const auto& point : FailurePoints()) {
+    SECTION(point.mName)
+    {
+      scripted_upstream failing(point.mScript);
+      scripted_upstream healthy;
+      gateway_fixture fixture(
+        { failing.Port(), healthy.Port() }, {}, std::chrono::milliseconds(300));
+      STRCMP_EQUAL("again",
+                   fixture.Call("POST", "/echo", "again").mBody.c_str());
+      LONGS_EQUAL(1, failing.Seen().size());
+
+      fixture.mDecisions.mRetriesLeft = 0;
+      const auto refused = fixture.Call("POST", "/echo", "once");
+      STRCMP_EQUAL(point.mReason.c_str(),
+                   refused.Header("Cowslipline-Reason").c_str());
+      STRCMP_EQUAL(point.mRan.c_str(),
+                   refused.Header("Cowslipline-Ran").c_str());
+      LONGS_EQUAL(1, healthy.Seen().size());
+    }
+  }
+}
+
+// Guards against "not run" from a later attempt that hides an earlier one
+// which may have run.
+TEST(failures, RememberEarlierAttempts)
+{
+  scripted_upstream failing(Raw("HTTP/1.1 200 O"));
+  gateway_fixture fixture({ failing.Port(), ClosedPort() });
+  const auto answer = fixture.Call("GET", "/echo");
+  STRCMP_EQUAL("upstream_unreachable",
+               answer.Header("Cowslipline-Reason").c_str());
+  STRCMP_EQUAL("unknown", answer.Header("Cowslipline-Ran").c_str());
+  CHECK(answer.mBody.find("did not run") == std::string::npos);
+}
+
+TEST(failures, OfConnectingCertainlyDidNotRun)
+{
+  scripted_upstream healthy;
+  SECTION("an order goes to another target")
+  {
+    gateway_fixture fixture({ ClosedPort(), healthy.Port() });
+    LONGS_EQUAL(
+      200, fixture.Call("POST", "/order", "glass", kIdempotencyKey).Status());
+    CHECK(
+      fixture.mDecisions.Reports() ==
+      (std::vector{ attempt_class::ConnectFailure, attempt_class::Success }));
+  }
+  SECTION("an order without another target may be sent again")
+  {
+    gateway_fixture fixture({ ClosedPort() });
+    const auto answer =
+      fixture.Call("POST", "/order", "glass", kIdempotencyKey);
+    STRCMP_EQUAL("upstream_unreachable",
+                 answer.Header("Cowslipline-Reason").c_str());
+    STRCMP_EQUAL("not_run", answer.Header("Cowslipline-Ran").c_str());
+    LONGS_EQUAL(1, fixture.mDecisions.mReleased);
+  }
+}
+
+TEST_GROUP(connections){};
+
+// Guards against answers that reach the wrong caller (P6).
+TEST(connections, CarryOneExchangeAtATime)
+{
+  scripted_upstream upstream;
+  gateway_fixture fixture({ upstream.Port() });
+
+  SECTION("callers at once on kept-alive connections get their own answers")
+  {
+    std::atomic<int> wrong{ 0 };
+    std::vector<std::thread> callers;
+    for (int caller = 0; caller < 4; ++caller) {
+      callers.emplace_back([&, caller] {
+        auto socket = fixture.Connect();
+        for (int i = 0; i < 50; ++i) {
+          const auto body = std::to_string(caller) + "/" + std::to_string(i);
+          socket.Send(gateway_fixture::Request("POST", "/echo", body));
+          wrong += socket.Receive().mBody == body ? 0 : 1;
+        }
+      });
+    }
+    for (auto& caller : callers) {
+      caller.join();
+    }
+    LONGS_EQUAL(0, wrong);
+    CHECK(upstream.Connections() <= 4);
+  }
+  SECTION("bytes that follow an answer are not the next answer")
+  {
+    upstream.SetScript([](const http_message& aRequest, test_socket& aSocket) {
+      aSocket.Send(scripted_upstream::Answer(aRequest.mBody) +
+                   scripted_upstream::Answer("late"));
+      return true;
+    });
+    STRCMP_EQUAL("a", fixture.Call("POST", "/echo", "a").mBody.c_str());
+    STRCMP_EQUAL("b", fixture.Call("POST", "/echo", "b").mBody.c_str());
+  }
+  SECTION("a late answer is not the answer to the next request")
+  {
+    std::atomic<bool> isLate{ false };
+    upstream.SetScript([&](const http_message& aRequest, test_socket& aSocket) {
+      if (aRequest.mBody == "slow") {
+        WaitUntil([&] { return isLate.load(); });
+      }
+      return scripted_upstream::Echo(aRequest, aSocket);
+    });
+    gateway_fixture hurried(
+      { upstream.Port() }, {}, std::chrono::milliseconds(100));
+    LONGS_EQUAL(504, hurried.Call("POST", "/echo", "slow").Status());
+    isLate = true;
+    STRCMP_EQUAL("next", hurried.Call("POST", "/echo", "next").mBody.c_str());
+  }
+}
+
+TEST(connections, AreNotReusedAfterTheUpstreamClosedThem)
+{
+  scripted_upstream upstream([](const http_message& aRequest, auto& aSocket) {
+    scripted_upstream::Echo(aRequest, aSocket);
+    return false;
+  });
+  gateway_fixture fixture({ upstream.Port() });
+  for (const std::string body : { "a", "b", "c" }) {
+    STRCMP_EQUAL(body.c_str(),
+                 fixture.Call("POST", "/echo", body).mBody.c_str());
+  }
+  LONGS_EQUAL(3, upstream.Connections());
+}
+
+// Guards against connections that went silent for good while new ones work.
+TEST(connections, AsOldAsASilentOneAreNotReused)
+{
+  std::atomic<int> waiting{ 0 };
+  std::atomic<bool> isSilent{ false };
+  scripted_upstream upstream([&](const http_message& aRequest, auto& aSocket) {
+    if (aRequest.mBody == "together") {
+      ++waiting;
+      WaitUntil([&] { return waiting >= 3; });
+    }
+    return isSilent && aRequest.mBody == "silent"
+             ? Hang(aRequest, aSocket)
+             : scripted_upstream::Echo(aRequest, aSocket);
+  });
+  gateway_fixture fixture({ upstream.Port() }, {}, std::chrono::seconds(1));
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 3; ++i) {
+    callers.emplace_back([&] { fixture.Call("POST", "/echo", "together"); });
+  }
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  LONGS_EQUAL(3, upstream.Connections());
+  isSilent = true;
+  fixture.mDecisions.mRetriesLeft = 0;
+  LONGS_EQUAL(504, fixture.Call("POST", "/echo", "silent").Status());
+  LONGS_EQUAL(200, fixture.Call("POST", "/echo", "a").Status());
+  // One of the two idle connections may have been opened after the silent one.
+  CHECK(upstream.Connections() >= 3);
+}
+
+// Guards against an order on a connection that its upstream is closing, which
+// leaves the outcome unknown.
+TEST(connections, AreNewForOrders)
+{
+  scripted_upstream upstream;
+  gateway_fixture fixture({ upstream.Port() });
+  fixture.Call("POST", "/echo", "a");
+  fixture.Call("POST", "/order", "glass", kIdempotencyKey);
+  LONGS_EQUAL(2, upstream.Connections());
+}
+
+TEST(connections, CarrySixteenMebibytesBothWays)
+{
+  scripted_upstream upstream;
+  gateway_fixture fixture({ upstream.Port() });
+  std::string body(std::size_t(16) << 20, '\0');
+  random_source random(20261204);
+  for (std::size_t i = 0; i + 8 <= body.size(); i += 8) {
+    const auto value = random.Next();
+    std::copy_n(reinterpret_cast<const char*>(&value), 8, body.begin() + i);
+  }
+  const auto answer = fixture.Call("POST", "/echo", body);
+  CHECK(answer.mBody == body);
+  CHECK(upstream.Seen()[0].mBody == body);
+  CHECK(WaitUntil([&] { return fixture.mGateway->BodyBudget().Taken() == 0; }));
+}
+
+// Guards against work for callers that have left, and against cutting it where
+// the route forbids that.
+TEST(connections, EndWithTheirCallerWhereTheRouteAllowsIt)
+{
+  std::atomic<int> canceled{ 0 };
+  std::atomic<bool> mayAnswer{ false };
+  scripted_upstream upstream([&](const http_message& aRequest, auto& aSocket) {
+    if (aRequest.mHead.substr(0, 9) == "GET /hold") {
+      WaitUntil([&] { return mayAnswer.load(); });
+      return scripted_upstream::Echo(aRequest, aSocket);
+    }
+    canceled += aSocket.IsClosedByPeer() ? 1 : 0;
+    return false;
+  });
+  gateway_fixture fixture({ upstream.Port() });
+  SECTION("a query is canceled")
+  {
+    auto caller = fixture.Connect();
+    caller.Send(gateway_fixture::Request("GET", "/echo"));
+    CHECK(WaitUntil([&] { return upstream.Seen().size() == 1; }));
+    caller.Close();
+    CHECK(WaitUntil([&] { return canceled == 1; }));
+    CHECK(WaitUntil([&] { return fixture.mDecisions.Reports().size() == 1; }));
+    CHECK(fixture.mDecisions.Reports()[0] == attempt_class::Canceled);
+  }
+  SECTION("a request that goes on is finished")
+  {
+    auto caller = fixture.Connect();
+    caller.Send(gateway_fixture::Request("GET", "/hold"));
+    CHECK(WaitUntil([&] { return upstream.Seen().size() == 2; }));
+    caller.Close();
+    mayAnswer = true;
+    CHECK(WaitUntil([&] { return fixture.mDecisions.Reports().size() == 2; }));
+    CHECK(fixture.mDecisions.Reports()[1] == attempt_class::Success);
+  }
+}
