Make the test of silent connections exact

Cause: the check allowed for either order of three connections and so could not fail when an idle connection was reused wrongly.

Change: the connections are opened and given back in a fixed order.

Conclusion: the older idle connections are closed before reuse.

--- a/tests/gateway/test_exchange.cpp
+++ b/tests/gateway/test_exchange.cpp
@@ -306,32 +306,32 @@
 // Guards against connections that went silent for good while new ones work.
 TEST(connections, AsOldAsASilentOneAreNotReused)
 {
-  std::atomic<int> waiting{ 0 };
-  std::atomic<bool> isSilent{ false };
+  std::atomic<int> turn{ 0 };
   scripted_upstream upstream([&](const http_message& aRequest, auto& aSocket) {
-    if (aRequest.mBody == "together") {
-      ++waiting;
-      WaitUntil([&] { return waiting >= 3; });
+    if (aRequest.mBody == "silent") {
+      return Hang(aRequest, aSocket);
     }
-    return isSilent && aRequest.mBody == "silent"
-             ? Hang(aRequest, aSocket)
-             : scripted_upstream::Echo(aRequest, aSocket);
+    WaitUntil([&] { return turn >= std::stoi(aRequest.mBody); });
+    return scripted_upstream::Echo(aRequest, aSocket);
   });
   gateway_fixture fixture({ upstream.Port() }, {}, std::chrono::seconds(1));
+  fixture.mDecisions.mRetriesLeft = 0;
+  // Three connections, opened and given back in their order: the next request
+  // takes the newest one.
   std::vector<std::thread> callers;
-  for (int i = 0; i < 3; ++i) {
-    callers.emplace_back([&] { fixture.Call("POST", "/echo", "together"); });
+  for (int i = 1; i <= 3; ++i) {
+    callers.emplace_back(
+      [&, i] { fixture.Call("POST", "/echo", std::to_string(i)); });
+    CHECK(WaitUntil([&] { return upstream.Connections() == i; }));
   }
   for (auto& caller : callers) {
+    ++turn;
     caller.join();
   }
-  LONGS_EQUAL(3, upstream.Connections());
-  isSilent = true;
-  fixture.mDecisions.mRetriesLeft = 0;
   LONGS_EQUAL(504, fixture.Call("POST", "/echo", "silent").Status());
-  LONGS_EQUAL(200, fixture.Call("POST", "/echo", "a").Status());
-  // One of the two idle connections may have been opened after the silent one.
-  CHECK(upstream.Connections() >= 3);
+  LONGS_EQUAL(3, upstream.Connections());
+  LONGS_EQUAL(200, fixture.Call("POST", "/echo", "0").Status());
+  LONGS_EQUAL(4, upstream.Connections());
 }
 
 // Guards against an order on a connection that its upstream is closing, which
