Decide scope by likelihood and ask the others before deciding

Changes: a path is blamed only when its log-likelihood ratio says so; the owner asks all members for their counts and waits 20 ms before it decides; the error test decides between 0.001 and 0.1 (threshold 14.2) instead of 0.01 and 0.2 (threshold 7), which needs four failures in 48 requests instead of three in 17.

--- a/modules/health/ejection_owner.cpp
+++ b/modules/health/ejection_owner.cpp
@@ -1,5 +1,7 @@
 #include "modules/health/ejection_owner.h"
 
+#include <nlohmann/json.hpp>
+
 namespace cowslipline {
 
 namespace {
@@ -70,18 +72,40 @@
   auto& detector = DetectorOf(aEvidence.mService);
   const auto decisions =
     detector.Add(aFrom, ZoneOf(aFrom), aEvidence, mScheduler->Now());
+  if (detector.TakeQuestion()) {
+    Ask(aEvidence.mService);
+  }
   if (!decisions.empty()) {
-    mMetrics->Counter("cowslipline_health_decisions_total")
-      .Add(decisions.size());
     Publish(decisions);
     return;
   }
   Correct(aFrom, aEvidence, detector);
 }
 
+void
+ejection_owner::Ask(std::uint32_t aService)
+{
+  std::string payload;
+  nlohmann::json::to_cbor(aService, payload);
+  for (const auto& peer : mMembership->LiveMembers()) {
+    if (peer.mName != mMembership->Self().mName) {
+      mChannel->Send(peer.mName, kQuestionService, payload);
+    }
+  }
+  mScheduler->Spawn([this, aService](yield_context aYield) {
+    mScheduler->SleepFor(kAnswerTime, aYield);
+    const auto decisions = DetectorOf(aService).Review(mScheduler->Now());
+    if (!decisions.empty()) {
+      Publish(decisions);
+    }
+  });
+}
+
 void
 ejection_owner::Publish(const std::vector<ejection>& aDecisions)
 {
+  mMetrics->Counter("cowslipline_health_decisions_total")
+    .Add(aDecisions.size());
   const auto& self = mMembership->Self().mName;
   mHolder->Apply(self, aDecisions);
   const auto payload = EncodeEjections(aDecisions);
--- a/modules/health/ejection_owner.h
+++ b/modules/health/ejection_owner.h
@@ -12,6 +12,7 @@
 namespace cowslipline {
 
 constexpr std::string_view kEvidenceService = "health.evidence";
+constexpr std::string_view kQuestionService = "health.question";
 constexpr std::string_view kEjectionService = "health.ejection";
 
 /// The owner's part: takes evidence, decides and sends ejections.
@@ -35,6 +36,8 @@
 private:
   std::string ZoneOf(const instance_name& aInstance) const;
   service_detector& DetectorOf(std::uint32_t aService);
+  /// Asks all members for their counts now and decides on the answers.
+  void Ask(std::uint32_t aService);
   void Publish(const std::vector<ejection>& aDecisions);
   void Correct(const instance_name& aTo,
                const service_evidence& aEvidence,
--- a/modules/health/evidence.cpp
+++ b/modules/health/evidence.cpp
@@ -82,7 +82,8 @@
   if (aOutcome == attempt_outcome::Success) {
     ++mSuccesses;
     ++mLatencies.at(LatencyBucket(aLatency));
-    mLastSuccess = aNow;
+    // Its start: an attempt that began before a fault may still succeed.
+    mLastSuccess = aNow - aLatency;
   } else if (aOutcome == attempt_outcome::ConnectFailure) {
     ++mConnectFailures;
   } else if (IsFailure(aOutcome)) {
--- a/modules/health/evidence.h
+++ b/modules/health/evidence.h
@@ -29,8 +29,8 @@
   std::uint32_t mConnectFailures = 0;
   /// Latencies of successes.
   std::array<std::uint32_t, kLatencyBuckets> mLatencies{};
-  /// Since when the counts have a success; tells the owner whether the target
-  /// was reached after the failures of others.
+  /// Start of the last attempt that succeeded; tells the owner whether the
+  /// target was reached after the failures of others.
   steady_time mLastSuccess{};
 
   void Record(attempt_outcome aOutcome, duration aLatency, steady_time aNow);
--- a/modules/health/evidence_reporter.cpp
+++ b/modules/health/evidence_reporter.cpp
@@ -1,5 +1,7 @@
 #include "modules/health/evidence_reporter.h"
 
+#include <nlohmann/json.hpp>
+
 namespace cowslipline {
 
 namespace {
@@ -24,6 +26,26 @@
 {
 }
 
+void
+evidence_reporter::Start()
+{
+  mChannel->Handle(std::string(kQuestionService),
+                   [this](const instance_name&,
+                          std::string_view aPayload,
+                          yield_context) -> result<std::string> {
+                     const auto value =
+                       nlohmann::json::from_cbor(aPayload, true, false);
+                     auto* const service =
+                       value.is_number_unsigned()
+                         ? mTable->FindByHash(value.get<std::uint32_t>())
+                         : nullptr;
+                     if (service != nullptr) {
+                       Send(*service);
+                     }
+                     return std::string();
+                   });
+}
+
 void
 evidence_reporter::Record(service_state& aService,
                           target_state& aTarget,
--- a/modules/health/evidence_reporter.h
+++ b/modules/health/evidence_reporter.h
@@ -21,6 +21,9 @@
                     std::shared_ptr<ejection_holder> aHolder,
                     std::shared_ptr<ejection_owner> aOwner);
 
+  /// Registers the handler of the owners' questions.
+  void Start();
+
   void Record(service_state& aService,
               target_state& aTarget,
               const attempt_report& aReport);
--- a/modules/health/fault_test.cpp
+++ b/modules/health/fault_test.cpp
@@ -9,12 +9,6 @@
 
 /// A higher score would only delay the recovery of a shared fault.
 constexpr double kLargestScoreFactor = 1.5;
-/// Log-likelihood ratio at which zones are told apart. Four faults of a target
-/// that fails everywhere fall into one zone of three in 4% of the cases.
-constexpr double kZoneRatio = 6;
-/// An instance with a greater share of the faults is judged alone.
-constexpr double kDominantShare = 2.0 / 3;
-
 /// Log-likelihood of the counts at their own rate.
 double
 LogLikelihood(double aTrials, double aFaults)
@@ -112,25 +106,35 @@
   return scope;
 }
 
+double
+fault_test::RatioOf(const counts& aInside, const fault_rates& aRates) const
+{
+  const auto total = Total();
+  const double trials = total.mTrials - aInside.mTrials;
+  const double faults = total.mFaults - aInside.mFaults;
+  // The others have to look healthy, not only better.
+  const double ordinary = faults * std::log(aRates.mOrdinary) +
+                          (trials - faults) * std::log(1 - aRates.mOrdinary);
+  // A target that fails everywhere fails at least at the lowest rate.
+  const double common = std::clamp(
+    total.mFaults / total.mTrials, aRates.mLowestEverywhere, 1 - 1e-9);
+  const double everywhere =
+    total.mFaults * std::log(common) +
+    (total.mTrials - total.mFaults) * std::log(1 - common);
+  return LogLikelihood(aInside.mTrials, aInside.mFaults) + ordinary -
+         everywhere;
+}
+
 std::optional<instance_name>
 fault_test::FindFailingInstance(const fault_rates& aRates) const
 {
-  if (mCounts.size() < 2) {
-    return std::nullopt;
-  }
-  const auto top = std::max_element(
-    mCounts.begin(), mCounts.end(), [](const auto& aLeft, const auto& aRight) {
-      return aLeft.second.mFaults < aRight.second.mFaults;
-    });
-  const auto total = Total();
-  const double others = total.mTrials - top->second.mTrials;
-  const double otherFaults = total.mFaults - top->second.mFaults;
-  const bool isDominant = top->second.mFaults > total.mFaults * kDominantShare;
-  if (!isDominant || others - otherFaults < 2 ||
-      ScoreOf(others, otherFaults, aRates) >= aRates.mThreshold) {
-    return std::nullopt;
+  for (const auto& [name, one] : mCounts) {
+    if (one.mFaults > 0 && one.mTrials < Total().mTrials &&
+        RatioOf(one, aRates) > aRates.mPathRatio) {
+      return name;
+    }
   }
-  return top->first;
+  return std::nullopt;
 }
 
 std::vector<std::string>
@@ -148,9 +152,7 @@
       return aLeft.second.mFaults * aRight.second.mTrials >
              aRight.second.mFaults * aLeft.second.mTrials;
     });
-  const auto total = Total();
-  const double common = LogLikelihood(total.mTrials, total.mFaults);
-  double best = kZoneRatio;
+  double best = aRates.mPathRatio;
   std::vector<std::string> failing;
   std::vector<std::string> names;
   counts inside;
@@ -158,13 +160,7 @@
     names.push_back(sorted[i].first);
     inside.mTrials += sorted[i].second.mTrials;
     inside.mFaults += sorted[i].second.mFaults;
-    const double trials = total.mTrials - inside.mTrials;
-    const double faults = total.mFaults - inside.mFaults;
-    // The other zones have to look healthy, not only better.
-    const double ordinary = faults * std::log(aRates.mOrdinary) +
-                            (trials - faults) * std::log(1 - aRates.mOrdinary);
-    const double ratio =
-      LogLikelihood(inside.mTrials, inside.mFaults) + ordinary - common;
+    const double ratio = RatioOf(inside, aRates);
     if (ratio > best) {
       best = ratio;
       failing = names;
--- a/modules/health/fault_test.h
+++ b/modules/health/fault_test.h
@@ -15,6 +15,10 @@
   double mOrdinary = 0;  ///< Share of faults of a healthy target.
   double mFaulty = 0;    ///< Share of faults that is to be detected.
   double mThreshold = 0; ///< Score that decides, in nats.
+  /// Log-likelihood ratio from which a path is blamed, not the target.
+  double mPathRatio = 0;
+  /// Lowest share of faults on every path when the target itself is faulty.
+  double mLowestEverywhere = 0;
 };
 
 /// Counts that one instance reports.
@@ -60,6 +64,9 @@
                  double aFaults,
                  const fault_rates& aRates) const;
   counts Total() const;
+  /// Log-likelihood ratio of a fault of these paths alone against a fault of
+  /// the target.
+  double RatioOf(const counts& aInside, const fault_rates& aRates) const;
   std::optional<instance_name> FindFailingInstance(
     const fault_rates& aRates) const;
   std::vector<std::string> FindFailingZones(const fault_rates& aRates) const;
--- a/modules/health/health.cpp
+++ b/modules/health/health.cpp
@@ -90,6 +90,7 @@
   aParts.mHolder->Start();
   aParts.mOwner->Start();
   aParts.mNotices->Start();
+  aParts.mReporter->Start();
   aScheduler->Spawn([aScheduler, aParts, aIsStopped](yield_context aYield) {
     while (!*aIsStopped) {
       aScheduler->SleepFor(kTick, aYield);
--- a/modules/health/service_detector.cpp
+++ b/modules/health/service_detector.cpp
@@ -15,9 +15,11 @@
 
 /// Rates that each test decides between, by reason.
 constexpr std::array<fault_rates, kFaultKinds> kRates = { {
-  { 0.01, 0.2, 7 },
-  { 0.001, 0.5, 12 },
-  { 0.01, 0.5, 12 },
+  { 0.001, 0.1, 14.2, 6, 0.1 },
+  // A target that refuses connections refuses all: a single success elsewhere
+  // points at the path.
+  { 0.001, 0.5, 12, 2, 0.95 },
+  { 0.01, 0.5, 12, 6, 0.3 },
 } };
 
 /// Trials that the lowest ordinary rate counts for while nothing is known.
@@ -30,6 +32,7 @@
 /// An ejection that is this young is withdrawn when the fault turns out to be
 /// shared: the first target to trip was only the unluckiest.
 constexpr duration kWithdrawAge = std::chrono::seconds(3);
+constexpr duration kQuestionAge = std::chrono::seconds(1);
 constexpr duration kSlowBucketAge = std::chrono::milliseconds(250);
 /// Buckets that make three times the median.
 const std::size_t kSlowBuckets =
@@ -215,6 +218,26 @@
   return failing * 2 > others && faults >= trials * lowest;
 }
 
+bool
+service_detector::IsConfirmed(watched_target& aTarget, steady_time aNow)
+{
+  if (aNow - aTarget.mAsked > kQuestionAge) {
+    aTarget.mAsked = aNow;
+    mHasQuestion = true;
+  }
+  return aNow - aTarget.mAsked >= kAnswerTime;
+}
+
+std::vector<ejection>
+service_detector::Review(steady_time aNow)
+{
+  std::vector<ejection> decisions;
+  for (const auto& [name, one] : mTargets) {
+    Decide(name, aNow, decisions);
+  }
+  return decisions;
+}
+
 void
 service_detector::Decide(std::uint32_t aTarget,
                          steady_time aNow,
@@ -230,6 +253,9 @@
       Withdraw(reason, aNow, aDecisions);
       continue;
     }
+    if (!IsConfirmed(mTargets.at(aTarget), aNow)) {
+      return;
+    }
     if (auto scope = test.DecideScope(rates)) {
       aDecisions.push_back(Eject(aTarget, reason, std::move(*scope), aNow));
       return;
--- a/modules/health/service_detector.h
+++ b/modules/health/service_detector.h
@@ -9,12 +9,17 @@
 #include <array>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace cowslipline {
 
 constexpr std::size_t kFaultKinds = 3;
 
+/// Time that instances have to answer a question of the owner: successes are
+/// reported only every 500 ms, and the scope depends on them.
+constexpr duration kAnswerTime = std::chrono::milliseconds(20);
+
 /// Decides at the owner which targets of one service are ejected.
 class service_detector
 {
@@ -32,6 +37,11 @@
   /// The ejections in force, with the time that is left to each.
   std::vector<ejection> Active(steady_time aNow);
 
+  /// True once when a decision waits for what the other instances see; Review()
+  /// takes it after their answers.
+  bool TakeQuestion() { return std::exchange(mHasQuestion, false); }
+  std::vector<ejection> Review(steady_time aNow);
+
   steady_time LastEvidence() const { return mLastEvidence; }
 
 private:
@@ -52,6 +62,7 @@
     std::vector<active_ejection> mActive;
     std::uint32_t mRepeats = 0;
     steady_time mLastEnd{};
+    steady_time mAsked{};
   };
 
   watched_target& WatchedOf(std::uint32_t aTarget);
@@ -72,6 +83,8 @@
   bool IsShared(std::uint32_t aTarget,
                 ejection_reason aReason,
                 steady_time aNow) const;
+  /// Whether the others have had time to answer; asks them if they were not.
+  bool IsConfirmed(watched_target& aTarget, steady_time aNow);
   void Decide(std::uint32_t aTarget,
               steady_time aNow,
               std::vector<ejection>& aDecisions);
@@ -87,6 +100,7 @@
   std::uint64_t mSequence;
   std::map<std::uint32_t, watched_target> mTargets;
   steady_time mLastEvidence{};
+  bool mHasQuestion = false;
 };
 
 } // namespace cowslipline
