--- a/tests/limits/limiter_fleet.h
+++ b/tests/limits/limiter_fleet.h
@@ -251,6 +251,17 @@
     return mLevel >= -kRounding;
   }
 
+  /// Adds nothing and returns false when the request would exceed the bound.
+  bool AddIfWithin(steady_time aNow)
+  {
+    auto tried = *this;
+    if (!tried.Add(aNow)) {
+      return false;
+    }
+    *this = tried;
+    return true;
+  }
+
   /// A new configuration: the level is clipped, not refilled.
   void Change(double aRate, double aBurst, steady_time aNow)
   {
