Test the dangerous cases of the outcomes module and answer from a fresh index

A former owner whose shard came back answered from an index that lacked what its successor had committed.

Change: a record without an outcome is answered only from an index that was confirmed at most 100 ms before the claim arrived; otherwise the head is read first. When that fails, the outdated answer (unknown) is given instead of store_unavailable, which would say not run of a request that may have run.

--- a/modules/outcomes/record_shard.cpp
+++ b/modules/outcomes/record_shard.cpp
@@ -16,6 +16,11 @@
 /// blocks a thread of the data plane.
 constexpr duration kTolerableFailure = std::chrono::milliseconds(500);
 
+/// Age up to which the index is trusted for a record without an outcome. A
+/// former owner whose shard came back may lack the outcome; this bounds the
+/// reads that repeated requests cause.
+constexpr duration kTrustedAge = std::chrono::milliseconds(100);
+
 } // namespace
 
 record_shard::record_shard(shard_index aShard,
@@ -42,7 +47,8 @@
                       attempt.mFingerprint,
                       attempt.mId,
                       mScheduler.WallNow() + deadline.count() };
-  const auto known = Decide(pending->mEntry);
+  pending->mArrived = mScheduler.Now();
+  const auto known = Decide(*pending);
   auto reply = known ? *known : Await(pending, aRequest.mWait, aYield);
   if (reply.mStatus != claim_status::Finished) {
     return reply;
@@ -66,7 +72,7 @@
   }
   if (!aClaim->mReply) {
     aClaim->mIsAbandoned = true;
-    Answer(*aClaim, { claim_status::StoreUnavailable, false, {} });
+    Refuse(*aClaim, claim_status::StoreUnavailable);
   }
   return *aClaim->mReply;
 }
@@ -81,10 +87,10 @@
     return aReply;
   }
   auto outcome = mLog.ReadOutcome(aKey, aYield);
-  if (!outcome) {
-    return { claim_status::StoreUnavailable, aReply.mMayBeRecorded, {} };
+  // Without the body the answer still says truthfully that the request ran.
+  if (outcome) {
+    aReply.mOutcome = std::move(*outcome);
   }
-  aReply.mOutcome = std::move(*outcome);
   return aReply;
 }
 
@@ -143,7 +149,7 @@
 record_shard::RunStep(yield_context aYield)
 {
   DropAbandoned();
-  if (!mLog.IsCurrent() && !Recover(aYield)) {
+  if ((!mLog.IsCurrent() || IsRefreshDue()) && !Recover(aYield)) {
     return;
   }
   Settle();
@@ -199,7 +205,7 @@
 record_shard::Settle()
 {
   for (const auto& claim : mClaims) {
-    auto reply = Decide(claim->mEntry);
+    auto reply = Decide(*claim);
     if (reply) {
       Answer(*claim, std::move(*reply));
     }
@@ -218,15 +224,42 @@
 }
 
 std::optional<claim_reply>
-record_shard::Decide(const claim_entry& aClaim) const
+record_shard::Decide(const pending_claim& aClaim) const
+{
+  auto reply = DecideKnown(aClaim.mEntry);
+  if (reply) {
+    return IsOutdatedFor(aClaim) ? std::nullopt : reply;
+  }
+  if (mLog.Index().Bytes() > mEnvironment.mSettings.mIndexBytesLimit) {
+    return claim_reply{ claim_status::RecordsFull, false, {} };
+  }
+  return {};
+}
+
+bool
+record_shard::IsRefreshDue() const
+{
+  return std::any_of(mClaims.begin(), mClaims.end(), [this](const auto& claim) {
+    return IsOutdatedFor(*claim);
+  });
+}
+
+bool
+record_shard::IsOutdatedFor(const pending_claim& aClaim) const
+{
+  const auto* record = mLog.Index().Find(aClaim.mEntry.mKey);
+  // A finished record never changes, and a grant is the attempt's own.
+  return record != nullptr && !record->mIsFinished &&
+         record->mAttempt != aClaim.mEntry.mAttempt &&
+         mLog.ConfirmedAt() + kTrustedAge < aClaim.mArrived;
+}
+
+std::optional<claim_reply>
+record_shard::DecideKnown(const claim_entry& aClaim) const
 {
   const auto* record = mLog.Index().Find(aClaim.mKey);
   if (record == nullptr) {
-    const bool isFull =
-      mLog.Index().Bytes() > mEnvironment.mSettings.mIndexBytesLimit;
-    return isFull ? std::optional(
-                      claim_reply{ claim_status::RecordsFull, false, {} })
-                  : std::nullopt;
+    return {};
   }
   if (record->mFingerprint != aClaim.mFingerprint) {
     return claim_reply{ claim_status::KeyReused, false, {} };
@@ -324,8 +357,11 @@
     if (bytes > mEnvironment.mSettings.mOpenSegmentBytes) {
       break;
     }
-    // A second claim for the key is decided once the first is committed.
-    if (!claim->mIsAbandoned && keys.insert(claim->mEntry.mKey).second) {
+    // A second claim for the key is decided once the first is committed, and
+    // one for a record that appeared meanwhile after a refresh.
+    const auto& key = claim->mEntry.mKey;
+    if (!claim->mIsAbandoned && mLog.Index().Find(key) == nullptr &&
+        keys.insert(key).second) {
       claim->mIsSubmitted = true;
       aBatch.mEntries.emplace_back(claim->mEntry);
     }
@@ -351,6 +387,9 @@
 record_shard::Commit(yield_context aYield)
 {
   const auto batch = BuildBatch();
+  if (batch.mEntries.empty()) {
+    return;
+  }
   mSubmittedCommit = batch.mCommitId;
   mHasSubmitted = true;
   const auto appended = mLog.Append(batch, aYield);
@@ -415,11 +454,20 @@
 {
   for (const auto& claim : mClaims) {
     if (!claim->mReply) {
-      Answer(*claim, { aStatus, false, {} });
+      Refuse(*claim, aStatus);
     }
   }
 }
 
+void
+record_shard::Refuse(pending_claim& aClaim, claim_status aStatus) const
+{
+  // A refusal says "not run", which must not be said of a request that an
+  // earlier attempt may have run. An outdated answer is better then.
+  auto known = DecideKnown(aClaim.mEntry);
+  Answer(aClaim, known ? std::move(*known) : claim_reply{ aStatus, false, {} });
+}
+
 void
 record_shard::RemoveExpired(yield_context aYield)
 {
--- a/modules/outcomes/record_shard.h
+++ b/modules/outcomes/record_shard.h
@@ -39,6 +39,7 @@
   struct pending_claim : waiter
   {
     claim_entry mEntry;
+    steady_time mArrived{};
     std::optional<claim_reply> mReply;
     bool mIsSubmitted = false;
     /// A commit with it lost its answer and may be applied late.
@@ -63,7 +64,10 @@
   bool Recover(yield_context aYield);
   void DropAbandoned();
   void Settle();
-  std::optional<claim_reply> Decide(const claim_entry& aClaim) const;
+  std::optional<claim_reply> Decide(const pending_claim& aClaim) const;
+  std::optional<claim_reply> DecideKnown(const claim_entry& aClaim) const;
+  bool IsRefreshDue() const;
+  bool IsOutdatedFor(const pending_claim& aClaim) const;
   claim_reply DecideUnfinished(const claim_entry& aClaim,
                                const record& aRecord) const;
   claim_reply Grant(const claim_entry& aClaim) const;
@@ -78,6 +82,7 @@
   void ResolveSubmitted(bool aIsCommitted);
   void NoteFailure(std::error_code aError, yield_context aYield);
   void RefuseClaims(claim_status aStatus);
+  void Refuse(pending_claim& aClaim, claim_status aStatus) const;
   void RemoveExpired(yield_context aYield);
   void MarkLost();
   claim_reply Await(const std::shared_ptr<pending_claim>& aClaim,
--- a/modules/outcomes/shard_log.cpp
+++ b/modules/outcomes/shard_log.cpp
@@ -76,6 +76,7 @@
 result<void>
 shard_log::Refresh(yield_context aYield)
 {
+  const auto start = mEnvironment.mScheduler->Now();
   const auto value = mEnvironment.mStore->Read(mPrefix + "head", aYield);
   COWSLIPLINE_PROPAGATE(value);
   const auto version = *value ? (*value)->mVersion : kAbsentVersion;
@@ -93,6 +94,7 @@
     mTaken.clear();
   }
   mIsCurrent = true;
+  mConfirmedAt = start;
   return {};
 }
 
@@ -179,12 +181,14 @@
   head.mFirst = FirstUnexpired();
   EraseBelow(head.mSkipped, head.mFirst);
   head.mBatches.push_back(encoded);
+  const auto start = mEnvironment.mScheduler->Now();
   const auto version =
     Write(mPrefix + "head", mVersion, EncodeHead(head), aYield);
   if (!version) {
     return NoteFailedCommit(version.error(), aBatch.mCommitId);
   }
   mVersion = *version;
+  mConfirmedAt = start;
   ApplyCommitted(std::move(head), stamped);
   return {};
 }
--- a/modules/outcomes/shard_log.h
+++ b/modules/outcomes/shard_log.h
@@ -36,6 +36,9 @@
   /// may have overtaken.
   bool IsCurrent() const { return mIsCurrent; }
 
+  /// The index contains everything that was committed before this moment.
+  steady_time ConfirmedAt() const { return mConfirmedAt; }
+
   /// Reads what has been committed since. A partial read is continued by the
   /// next call. Errors: errc::StoreUnavailable, errc::NotReady (the content
   /// can't be understood).
@@ -99,6 +102,7 @@
   std::uint64_t mLostCommit = 0;
   bool mIsLostFound = false;
   bool mIsCurrent = false;
+  steady_time mConfirmedAt{};
 };
 
 } // namespace cowslipline
--- a/tests/outcomes/outcome_fleet.cpp
+++ b/tests/outcomes/outcome_fleet.cpp
@@ -4,10 +4,24 @@
 
 namespace cowslipline::testing {
 
+template<typename F>
+auto
+hooked_store::Run(std::string_view aKey, yield_context aYield, F aCall)
+{
+  if (mBefore) {
+    mBefore(aKey, aYield);
+  }
+  auto answer = aCall();
+  if (mAfter) {
+    mAfter(aKey, aYield);
+  }
+  return answer;
+}
+
 result<std::optional<versioned_value>>
 hooked_store::Read(std::string_view aKey, yield_context aYield)
 {
-  return mStore->Read(aKey, aYield);
+  return Run(aKey, aYield, [&] { return mStore->Read(aKey, aYield); });
 }
 
 result<std::uint64_t>
@@ -16,14 +30,9 @@
                              std::string_view aValue,
                              yield_context aYield)
 {
-  if (mBeforeWrite) {
-    mBeforeWrite(aKey, aYield);
-  }
-  auto answer = mStore->CompareAndSwap(aKey, aExpected, aValue, aYield);
-  if (mAfterWrite) {
-    mAfterWrite(aKey, aYield);
-  }
-  return answer;
+  return Run(aKey, aYield, [&] {
+    return mStore->CompareAndSwap(aKey, aExpected, aValue, aYield);
+  });
 }
 
 result<std::optional<versioned_value>>
@@ -40,7 +49,37 @@
                      std::uint64_t aExpected,
                      yield_context aYield)
 {
-  return mStore->Remove(aKey, aExpected, aYield);
+  return Run(
+    aKey, aYield, [&] { return mStore->Remove(aKey, aExpected, aYield); });
+}
+
+void
+mortal_channel::Send(const instance_name& aTo,
+                     std::string_view aService,
+                     std::string aPayload)
+{
+  if (!mIsDead) {
+    mChannel->Send(aTo, aService, std::move(aPayload));
+  }
+}
+
+result<std::string>
+mortal_channel::Call(const instance_name& aTo,
+                     std::string_view aService,
+                     std::string aPayload,
+                     duration aTimeout,
+                     yield_context aYield)
+{
+  if (mIsDead) {
+    return Fail(errc::PeerUnreachable);
+  }
+  return mChannel->Call(aTo, aService, std::move(aPayload), aTimeout, aYield);
+}
+
+void
+mortal_channel::Handle(std::string aService, peer_handler aHandler)
+{
+  mChannel->Handle(std::move(aService), std::move(aHandler));
 }
 
 outcome_fleet::outcome_fleet(std::size_t aCount,
@@ -84,7 +123,8 @@
   }
   instance.mMembership =
     std::make_shared<fixed_membership>(MemberOf(aIndex), live);
-  instance.mChannel = mNetwork.Join(NameOf(aIndex));
+  instance.mChannel =
+    std::make_shared<mortal_channel>(mNetwork.Join(NameOf(aIndex)));
   instance.mMetrics = std::make_shared<metrics>();
   instance.mOwner = std::make_shared<shard_owner>(
     outcome_environment{
@@ -103,6 +143,14 @@
   mInstances.at(aIndex) = std::move(instance);
 }
 
+void
+outcome_fleet::Crash(std::size_t aIndex)
+{
+  mNetwork.Leave(NameOf(aIndex));
+  At(aIndex).mChannel->mIsDead = true;
+  At(aIndex).mClient->SetCutOff(true);
+}
+
 void
 outcome_fleet::Restart(std::size_t aIndex)
 {
--- a/tests/outcomes/outcome_fleet.h
+++ b/tests/outcomes/outcome_fleet.h
@@ -12,7 +12,7 @@
 
 namespace cowslipline::testing {
 
-/// Store client that runs a hook before a write is sent and after its answer
+/// Store client that runs a hook before a call is sent and after its answer
 /// has arrived, so that a test can pause an owner at either place.
 class hooked_store final : public key_value_store
 {
@@ -38,13 +38,43 @@
                       std::uint64_t aExpected,
                       yield_context aYield) override;
 
-  hook mBeforeWrite;
-  hook mAfterWrite;
+  hook mBefore;
+  hook mAfter;
 
 private:
+  /// Runs one call between the hooks.
+  template<typename F>
+  auto Run(std::string_view aKey, yield_context aYield, F aCall);
+
   std::shared_ptr<memory_key_value_store> mStore;
 };
 
+/// Channel that an instance loses when it crashes. The fake network knows
+/// names only, so tasks of a crashed process could use those of its successor.
+class mortal_channel final : public peer_channel
+{
+public:
+  explicit mortal_channel(std::shared_ptr<peer_channel> aChannel)
+    : mChannel(std::move(aChannel))
+  {
+  }
+
+  void Send(const instance_name& aTo,
+            std::string_view aService,
+            std::string aPayload) override;
+  result<std::string> Call(const instance_name& aTo,
+                           std::string_view aService,
+                           std::string aPayload,
+                           duration aTimeout,
+                           yield_context aYield) override;
+  void Handle(std::string aService, peer_handler aHandler) override;
+
+  bool mIsDead = false;
+
+private:
+  std::shared_ptr<peer_channel> mChannel;
+};
+
 /// A claim that runs as a task of its own.
 struct started_claim
 {
@@ -56,7 +86,7 @@
   std::shared_ptr<memory_key_value_store> mClient;
   std::shared_ptr<hooked_store> mStore;
   std::shared_ptr<fixed_membership> mMembership;
-  std::shared_ptr<peer_channel> mChannel;
+  std::shared_ptr<mortal_channel> mChannel;
   std::shared_ptr<metrics> mMetrics;
   std::shared_ptr<shard_owner> mOwner;
   std::shared_ptr<fleet_outcome_records> mRecords;
@@ -73,6 +103,8 @@
 
   test_instance& At(std::size_t aIndex) { return mInstances.at(aIndex); }
   std::size_t Size() const { return mInstances.size(); }
+  /// Nothing that the process still does reaches others or the store.
+  void Crash(std::size_t aIndex);
   /// A new process under the same name.
   void Restart(std::size_t aIndex);
   /// The instance's membership view, given by the indexes of the live ones.
--- a/tests/outcomes/test_outcomes.cpp
+++ b/tests/outcomes/test_outcomes.cpp
@@ -79,3 +79,370 @@
   CHECK(Is<granted>(fleet.Claim(1, "order")));
   CHECK(Is<in_progress>(fleet.Claim(2, "order")));
 }
+
+// Guards against two grants when two instances believe that they own the
+// shard and get claims for one key at the same moment.
+TEST(outcomes, TwoOwnersAtOnceGrantAKeyOnce)
+{
+  for (std::uint64_t seed = 10; seed < 30; ++seed) {
+    outcome_fleet fleet(2, seed);
+    fleet.SetView(0, { 0 });
+    fleet.SetView(1, { 1 });
+    const auto left = fleet.Start(0, "order", 2s);
+    // The second starts at another point of the first one's commit each time.
+    fleet.mClock.Advance(duration(300 * (seed - 10)));
+    const auto right = fleet.Start(1, "order", 2s);
+    fleet.mClock.Advance(2s);
+    CHECK(left->mAnswer && right->mAnswer);
+    const auto grants = (Is<granted>(*left->mAnswer) ? 1 : 0) +
+                        (Is<granted>(*right->mAnswer) ? 1 : 0);
+    LONGS_EQUAL(1, grants);
+  }
+}
+
+// Guards against a paused owner that grants what its successor has granted
+// meanwhile, wherever in the commit the pause falls.
+TEST(outcomes, APausedOwnerDoesNotGrantWhatItsSuccessorGranted)
+{
+  for (const int place : { 0, 1, 2 }) {
+    outcome_fleet fleet(3, 40 + static_cast<std::uint64_t>(place));
+    const auto owner = fleet.OwnerOf("order");
+    const auto caller = (owner + 1) % 3;
+    const auto other = (owner + 2) % 3;
+    // The owner's index is loaded, so that only the compare-and-swap can tell.
+    CHECK(Is<granted>(fleet.Claim(owner, "earlier")));
+    const auto pause = [&](std::string_view, yield_context aYield) {
+      fleet.mNetwork.SetPaused(outcome_fleet::NameOf(owner), true);
+      fleet.mClock.SleepFor(10s, aYield);
+    };
+    if (place == 0) {
+      fleet.mNetwork.SetPaused(outcome_fleet::NameOf(owner), true);
+    } else if (place == 1) {
+      fleet.At(owner).mStore->mBefore = pause;
+    } else {
+      fleet.At(owner).mStore->mAfter = pause;
+    }
+    const auto first = fleet.Start(caller, "order", 2s);
+    fleet.mClock.Advance(100ms);
+    fleet.SetView(caller, { caller, other });
+    fleet.SetView(other, { caller, other });
+    const auto second = fleet.Start(other, "order", 2s);
+    fleet.mClock.Advance(4s);
+    fleet.At(owner).mStore->mBefore = nullptr;
+    fleet.At(owner).mStore->mAfter = nullptr;
+    fleet.mNetwork.SetPaused(outcome_fleet::NameOf(owner), false);
+    fleet.mClock.Advance(20s);
+    CHECK(first->mAnswer && second->mAnswer);
+    const auto grants = (Is<granted>(*first->mAnswer) ? 1 : 0) +
+                        (Is<granted>(*second->mAnswer) ? 1 : 0);
+    LONGS_EQUAL(1, grants);
+    // The owner that comes back answers from what its successor committed.
+    fleet.SetAllViews({ 0, 1, 2 });
+    CHECK(Is<outcome_unknown>(fleet.Claim(owner, "order")));
+  }
+}
+
+// Guards against double grants and lost outcomes when one in five answers of
+// the store is lost after the write was applied.
+TEST(outcomes, LostStoreAnswersAreResolvedByReading)
+{
+  outcome_fleet fleet(3, 50);
+  fleet.mContent->mFaults.mAnswerLoss = 0.2;
+  std::vector<std::string> keys;
+  for (int number = 0; number < 200; ++number) {
+    const auto key = "order" + std::to_string(number);
+    const auto answer =
+      fleet.Claim(static_cast<std::size_t>(number) % 3, key, 5s);
+    CHECK(Is<granted>(answer));
+    fleet.Finish(static_cast<std::size_t>(number) % 3, *answer, 200, key);
+    keys.push_back(key);
+  }
+  fleet.mClock.Advance(10s);
+  for (const auto& key : keys) {
+    STRCMP_EQUAL(key.c_str(), BodyOf(fleet.Claim(1, key)).c_str());
+  }
+}
+
+// Guards against a second grant when the owner granted a claim but its answer
+// never reached the instance.
+TEST(outcomes, ATimedOutClaimIsReleasedBeforeTheKeyIsGrantedAgain)
+{
+  outcome_fleet fleet(3, 60);
+  const auto owner = fleet.OwnerOf("order");
+  const auto caller = (owner + 1) % 3;
+  const auto ownerName = outcome_fleet::NameOf(owner);
+  const auto callerName = outcome_fleet::NameOf(caller);
+  fleet.mNetwork.SetCut(ownerName, callerName, true);
+  const auto first = fleet.Start(caller, "order", 600ms);
+  fleet.mClock.Advance(500ms);
+  CHECK(!first->mAnswer);
+
+  SECTION("a resend is not granted while the attempt may run")
+  {
+    CHECK(Is<in_progress>(fleet.Claim((owner + 2) % 3, "order")));
+  }
+  SECTION("the instance gives up and its release frees the key")
+  {
+    fleet.mClock.Advance(5s);
+    CHECK(IsError(*first->mAnswer, errc::StoreUnavailable));
+    CHECK(Is<granted>(fleet.Claim((owner + 2) % 3, "order")));
+    fleet.mNetwork.SetCut(ownerName, callerName, false);
+    fleet.mClock.Advance(10s);
+    LONGS_EQUAL(0, fleet.At(caller).mRecords->CountUndelivered());
+  }
+  SECTION("the repeated releases have not freed the second attempt")
+  {
+    CHECK(Is<outcome_unknown>(fleet.Claim((owner + 2) % 3, "order")));
+  }
+}
+
+// Guards against a key that stays claimed although its caller was refused, and
+// against a grant to a caller that no longer waits.
+TEST(outcomes, AClaimGivenUpBeforeItsCommitIsReleasedLater)
+{
+  outcome_fleet fleet(2, 70);
+  const auto owner = fleet.OwnerOf("order");
+  fleet.mContent->mFaults.mLatency = 400ms;
+  const auto first = fleet.Claim(owner, "order", 500ms);
+  CHECK(IsError(first, errc::StoreUnavailable));
+  fleet.mContent->mFaults.mLatency = 2ms;
+  fleet.mClock.Advance(5s);
+  LONGS_EQUAL(0, fleet.At(owner).mRecords->CountUndelivered());
+  CHECK(Is<granted>(fleet.Claim(1 - owner, "order")));
+}
+
+// Guards against records that are lost when segments are sealed, and against a
+// new owner that misses some of them.
+TEST(outcomes, ANewOwnerRebuildsTheIndexFromManySegments)
+{
+  outcome_settings settings;
+  settings.mOpenSegmentBytes = 512;
+  settings.mWritesPerSecond = 1000;
+  settings.mWriteBurst = 1000;
+  outcome_fleet fleet(2, 80, settings);
+  fleet.SetAllViews({ 0 });
+  for (int number = 0; number < 600; ++number) {
+    const auto key = "order" + std::to_string(number);
+    const auto answer = fleet.Claim(0, key);
+    CHECK(Is<granted>(answer));
+    if (number % 2 == 0) {
+      fleet.Finish(0, *answer, 200, key);
+    }
+  }
+  fleet.mClock.Advance(3s);
+  // At least two sealed segments for each head on average.
+  CHECK(fleet.mContent->mValues.size() >= 3 * kShardCount);
+  fleet.SetAllViews({ 1 });
+  for (int number = 0; number < 600; ++number) {
+    const auto key = "order" + std::to_string(number);
+    const auto answer = fleet.Claim(1, key);
+    if (number % 2 == 0) {
+      STRCMP_EQUAL(key.c_str(), BodyOf(answer).c_str());
+    } else {
+      CHECK(Is<outcome_unknown>(answer));
+    }
+  }
+}
+
+// Guards against the loss of a commit when an outdated owner has sealed the
+// open segment under the number that the current owner needs.
+TEST(outcomes, ASegmentSealedByAnOutdatedOwnerIsSkipped)
+{
+  outcome_settings settings;
+  settings.mOpenSegmentBytes = 1024;
+  outcome_fleet fleet(2, 90, settings);
+  const auto key = [](int aNumber) {
+    return "order" + std::to_string(aNumber);
+  };
+  int number = 0;
+  // Instance 0 stops between sealing a segment and advancing the head.
+  bool isSealed = false;
+  fleet.At(0).mStore->mAfter = [&](std::string_view aKey,
+                                   yield_context aYield) {
+    if (!isSealed && aKey.substr(aKey.rfind('/') + 1) != "head") {
+      isSealed = true;
+      fleet.mClock.SleepFor(20s, aYield);
+    }
+  };
+  fleet.SetAllViews({ 0 });
+  while (!isSealed) {
+    (void)fleet.Claim(0, key(number++), 1s);
+    fleet.mClock.Advance(1s);
+  }
+  fleet.SetAllViews({ 1 });
+  for (const auto last = number + 400; number < last; ++number) {
+    CHECK(Is<granted>(fleet.Claim(1, key(number), 5s)));
+  }
+  fleet.mClock.Advance(20s);
+  fleet.SetAllViews({ 0 });
+  for (const auto first = number - 400; number > first;) {
+    --number;
+    CHECK(Is<outcome_unknown>(fleet.Claim(0, key(number), 5s)));
+  }
+}
+
+// Guards against records that are dropped too early, and against a store that
+// fills up with expired segments.
+TEST(outcomes, SegmentsAreRemovedAfterRetentionOnly)
+{
+  outcome_settings settings;
+  settings.mRetention = 60s;
+  settings.mOpenSegmentBytes = 512;
+  outcome_fleet fleet(2, 100, settings);
+  fleet.SetAllViews({ 0 });
+  const auto claimMany = [&](const std::string& aPrefix) {
+    for (int number = 0; number < 300; ++number) {
+      CHECK(Is<granted>(fleet.Claim(0, aPrefix + std::to_string(number), 5s)));
+    }
+  };
+  claimMany("a");
+  fleet.mClock.Advance(50s);
+  SECTION("within retention every record is known, to a new owner as well")
+  {
+    fleet.SetAllViews({ 1 });
+    for (int number = 0; number < 300; ++number) {
+      CHECK(
+        Is<outcome_unknown>(fleet.Claim(1, "a" + std::to_string(number), 5s)));
+    }
+    fleet.SetAllViews({ 0 });
+  }
+  const auto before = fleet.mContent->mValues.size();
+  fleet.mClock.Advance(60s);
+  claimMany("b");
+  fleet.mClock.Advance(120s);
+  claimMany("c");
+  fleet.mClock.Advance(60s);
+  SECTION("expired segments are gone, the rest is readable by a new owner")
+  {
+    CHECK(fleet.mContent->mValues.size() < before + 64);
+    fleet.SetAllViews({ 1 });
+    CHECK(Is<outcome_unknown>(fleet.Claim(1, "c299")));
+  }
+}
+
+// Guards against memory that grows without bound, and against records dropped
+// to make room.
+TEST(outcomes, AFullIndexRefusesNewClaimsAndKeepsItsRecords)
+{
+  outcome_settings settings;
+  settings.mIndexBytesLimit = 1000;
+  outcome_fleet fleet(1, 110, settings);
+  std::vector<std::string> keys;
+  bool isFull = false;
+  for (int number = 0; number < 2000 && !isFull; ++number) {
+    keys.push_back("order" + std::to_string(number));
+    const auto answer = fleet.Claim(0, keys.back());
+    isFull = IsError(answer, errc::RecordsFull);
+    CHECK(isFull || Is<granted>(answer));
+  }
+  CHECK(isFull);
+  keys.pop_back();
+  for (const auto& key : keys) {
+    CHECK(!Is<granted>(fleet.Claim(0, key)));
+  }
+}
+
+// Guards against a claim that is lost because membership views differ for a
+// moment.
+TEST(outcomes, AClaimSentToAFormerOwnerIsSentAgain)
+{
+  outcome_fleet fleet(2, 120);
+  const auto owner = fleet.OwnerOf("order");
+  // The owner already believes that it has handed over to itself no longer.
+  fleet.SetView(owner, { 1 - owner });
+  const auto started = fleet.Start(1 - owner, "order", 2s);
+  fleet.mClock.Advance(300ms);
+  CHECK(!started->mAnswer);
+  fleet.SetView(1 - owner, { 1 - owner });
+  fleet.mClock.Advance(200ms);
+  CHECK(started->mAnswer && Is<granted>(*started->mAnswer));
+}
+
+// Guards against an outcome that is lost with the owner it was sent to.
+TEST(outcomes, OutcomesReachTheNextOwner)
+{
+  outcome_fleet fleet(3, 130);
+  const auto owner = fleet.OwnerOf("order");
+  const auto caller = (owner + 1) % 3;
+  const auto other = (owner + 2) % 3;
+  const auto answer = fleet.Claim(caller, "order");
+  CHECK(Is<granted>(answer));
+  fleet.mNetwork.Leave(outcome_fleet::NameOf(owner));
+  fleet.At(owner).mClient->SetCutOff(true);
+  fleet.Finish(caller, *answer, 200, "done");
+  fleet.mClock.Advance(3s);
+  fleet.SetAllViews({ caller, other });
+  fleet.mClock.Advance(10s);
+  LONGS_EQUAL(0, fleet.At(caller).mRecords->CountUndelivered());
+  STRCMP_EQUAL("done", BodyOf(fleet.Claim(other, "order")).c_str());
+}
+
+// Guards against store calls without work: they would use up the rate that
+// the whole fleet shares.
+TEST(outcomes, IdleShardsMakeNoStoreCalls)
+{
+  outcome_fleet fleet(3, 140);
+  const auto answer = fleet.Claim(0, "order");
+  fleet.Finish(0, *answer, 200, "done");
+  fleet.mClock.Advance(5s);
+  const auto before = fleet.mContent->mCounts;
+  fleet.mClock.Advance(std::chrono::hours(1));
+  const auto after = fleet.mContent->mCounts;
+  LONGS_EQUAL(before.mReads + before.mWrites + before.mWatches,
+              after.mReads + after.mWrites + after.mWatches);
+}
+
+// Guards against a former owner that gets its shard back and answers from an
+// index that lacks the outcome committed meanwhile (found by random seed 2).
+TEST(outcomes, AnOwnerWhoseShardCameBackKnowsTheOutcome)
+{
+  outcome_fleet fleet(2, 150);
+  fleet.SetAllViews({ 0 });
+  const auto answer = fleet.Claim(0, "order");
+  CHECK(Is<granted>(answer));
+  fleet.SetAllViews({ 1 });
+  fleet.Finish(0, *answer, 200, "done");
+  fleet.mClock.Advance(2s);
+  fleet.SetAllViews({ 0 });
+
+  SECTION("the store is away: the request is not said not to have run")
+  {
+    fleet.mContent->mFaults.mIsAway = true;
+    CHECK(Is<outcome_unknown>(fleet.Claim(1, "order")) ||
+          Is<in_progress>(fleet.Claim(1, "order")));
+  }
+  SECTION("the store is back")
+  {
+    fleet.mContent->mFaults.mIsAway = false;
+    fleet.mClock.Advance(5s);
+    STRCMP_EQUAL("done", BodyOf(fleet.Claim(1, "order")).c_str());
+  }
+}
+
+// Guards against a module that doesn't find its services or registers under
+// another name.
+TEST(outcomes, RegistersItsServiceInTheKernel)
+{
+  outcome_fleet fleet(1, 160);
+  kernel services;
+  CHECK(!RegisterOutcomes(services).has_value());
+  const std::shared_ptr<scheduler> clock(&fleet.mClock, [](auto*) {});
+  (void)services.Register("scheduler", clock);
+  (void)services.Register<key_value_store>("store", fleet.At(0).mStore);
+  (void)services.Register<peer_channel>("peer_channel", fleet.At(0).mChannel);
+  (void)services.Register<membership>("membership", fleet.At(0).mMembership);
+  (void)services.Register("metrics", fleet.At(0).mMetrics);
+  (void)services.Register("fleet_secret",
+                          std::make_shared<std::string>("secret"));
+  CHECK(RegisterOutcomes(services).has_value());
+  const auto records = services.Find<outcome_records>("outcome_records");
+  CHECK(records.has_value());
+  bool isGranted = false;
+  CHECK(fleet.mClock.RunUntilDone(
+    [&](yield_context aYield) {
+      isGranted = Is<granted>(
+        (*records)->Claim(outcome_fleet::MakeClaim("order", 1), 1s, aYield));
+    },
+    2s));
+  CHECK(isGranted);
+}
