--- a/apps/cowsliplined/blocking_decisions.cpp
+++ b/apps/cowsliplined/blocking_decisions.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <cstring>
-#include <limits>
 
 namespace cowslipline {
 
@@ -17,10 +16,6 @@
 // Decisions that need no peer and no store answer at once.
 constexpr duration kLocalDecision = std::chrono::milliseconds(500);
 
-// Callers without an organisation share one turn in the admission queue.
-constexpr organisation_index kNoOrganisation =
-  std::numeric_limits<organisation_index>::max();
-
 template<typename... Functions>
 struct overloaded : Functions...
 {
--- a/bench/bench_outcomes.cpp
+++ b/bench/bench_outcomes.cpp
@@ -119,7 +119,7 @@
     auto membership = std::make_shared<fixed_membership>(aSelf, mMembers);
     auto channel = mNetwork.Join(aSelf.mName);
     auto counters = std::make_shared<metrics>();
-    mOwners.push_back(std::make_shared<shard_owner>(
+    mOwners.push_back(std::make_shared<record_owner>(
       outcome_environment{
         &mClock,
         std::make_shared<memory_key_value_store>(mClock, mContent, number),
@@ -158,7 +158,7 @@
 
   random_source mRandom;
   std::vector<member> mMembers;
-  std::vector<std::shared_ptr<shard_owner>> mOwners;
+  std::vector<std::shared_ptr<record_owner>> mOwners;
   std::vector<std::shared_ptr<fleet_outcome_records>> mRecords;
   std::uint64_t mNextKey = 0;
 };
--- a/modules/outcomes/record_owner.cpp
+++ b/modules/outcomes/record_owner.cpp
@@ -37,8 +37,8 @@
 } // namespace
 
 record_owner::record_owner(outcome_environment aEnvironment,
-                         std::shared_ptr<membership> aMembership,
-                         std::uint64_t aSeed)
+                           std::shared_ptr<membership> aMembership,
+                           std::uint64_t aSeed)
   : mEnvironment(std::move(aEnvironment))
   , mMembership(std::move(aMembership))
   , mRandom(aSeed)
--- a/modules/outcomes/record_owner.h
+++ b/modules/outcomes/record_owner.h
@@ -14,8 +14,8 @@
 {
 public:
   record_owner(outcome_environment aEnvironment,
-              std::shared_ptr<membership> aMembership,
-              std::uint64_t aSeed);
+               std::shared_ptr<membership> aMembership,
+               std::uint64_t aSeed);
 
   claim_reply Claim(const claim_message& aRequest, yield_context aYield);
   report_status Report(const report_request& aRequest, yield_context aYield);
--- a/modules/outcomes/segment_format.cpp
+++ b/modules/outcomes/segment_format.cpp
@@ -193,7 +193,7 @@
 }
 
 std::string
-EncodeHead(const log_head& aHead)
+EncodeShardHead(const log_head& aHead)
 {
   return ToCbor(json{ { "v", kFormatVersion },
                       { "f", aHead.mFirst },
@@ -204,7 +204,7 @@
 }
 
 result<log_head>
-DecodeHead(std::string_view aBytes)
+DecodeShardHead(std::string_view aBytes)
 {
   return ParseCbor(aBytes, [](const json& aValue) -> result<log_head> {
     if (!IsKnownVersion(aValue)) {
--- a/modules/outcomes/segment_format.h
+++ b/modules/outcomes/segment_format.h
@@ -79,9 +79,9 @@
 DecodeBatch(std::string_view aBytes);
 
 std::string
-EncodeHead(const log_head& aHead);
+EncodeShardHead(const log_head& aHead);
 result<log_head>
-DecodeHead(std::string_view aBytes);
+DecodeShardHead(std::string_view aBytes);
 
 std::string
 EncodeSegment(const std::vector<std::string>& aBatches);
--- a/modules/outcomes/shard_log.cpp
+++ b/modules/outcomes/shard_log.cpp
@@ -85,7 +85,7 @@
                       errc::NotReady,
                       "the store holds an older head of a shard than before");
   if (version != mVersion) {
-    const auto head = DecodeHead((*value)->mValue);
+    const auto head = DecodeShardHead((*value)->mValue);
     COWSLIPLINE_FAIL_IF(
       !head, errc::NotReady, "the head of a shard can't be decoded");
     const auto caughtUp = CatchUp(*head, aYield);
@@ -183,7 +183,7 @@
   head.mBatches.push_back(encoded);
   const auto start = mEnvironment.mScheduler->Now();
   const auto version =
-    Write(mPrefix + "head", mVersion, EncodeHead(head), aYield);
+    Write(mPrefix + "head", mVersion, EncodeShardHead(head), aYield);
   if (!version) {
     return NoteFailedCommit(version.error(), aBatch.mCommitId);
   }
