--- a/apps/cowslipline/reporter.cpp
+++ b/apps/cowslipline/reporter.cpp
@@ -120,7 +120,7 @@
 
 exit_code
 reporter::Outcome(const publication_outcome& aOutcome,
-                  json aExtra,
+                  const json& aExtra,
                   const std::vector<std::string>& aExtraLines)
 {
   auto report = std::visit(outcome_describer{}, aOutcome);
--- a/apps/cowslipline/reporter.h
+++ b/apps/cowslipline/reporter.h
@@ -32,7 +32,7 @@
              const std::vector<std::string>& aLines);
   void Progress(const std::string& aLine);
   exit_code Outcome(const publication_outcome& aOutcome,
-                    nlohmann::json aExtra,
+                    const nlohmann::json& aExtra,
                     const std::vector<std::string>& aExtraLines);
 
 private:
--- a/apps/cowslipline/status_commands.cpp
+++ b/apps/cowslipline/status_commands.cpp
@@ -56,6 +56,7 @@
 ToLines(const std::vector<instance_status>& aStatuses)
 {
   std::vector<std::string> lines;
+  lines.reserve(aStatuses.size());
   for (const auto& status : aStatuses) {
     lines.push_back(ToLine(status));
   }
@@ -128,6 +129,7 @@
   }
   const auto missing = WaitForVersion(version, aOptions, aReporter);
   std::vector<std::string> lines;
+  lines.reserve(missing.size());
   for (const auto& status : missing) {
     lines.push_back("not in force at " + ToLine(status));
   }
--- a/bench/bench_configuration.cpp
+++ b/bench/bench_configuration.cpp
@@ -49,6 +49,7 @@
 MedianMilliseconds(const std::function<void()>& aFunction)
 {
   std::vector<double> times;
+  times.reserve(kRepetitions);
   for (int i = 0; i < kRepetitions; ++i) {
     times.push_back(Milliseconds(aFunction));
   }
--- a/tests/configuration/test_documentation.cpp
+++ b/tests/configuration/test_documentation.cpp
@@ -68,8 +68,9 @@
     const auto heading = HeadingOf(key.mTable, isList);
     ++counts[heading];
     const auto row = RowOf(key);
+    const auto problem = heading + " lacks" + row;
     CHECK_TEXT(ReadSection(aPage, heading).find(row) != std::string::npos,
-               (heading + " lacks" + row).c_str());
+               problem.c_str());
   }
   for (const auto& [heading, count] : counts) {
     LONGS_EQUAL_TEXT(
