Keep slots, budget and counters exact in the request pipeline

Cause: reading the code again showed that an exception could keep a slot or be refused as not run, that a retry without another target took from the budget and cut the first attempt to half of the deadline, that a caller that left was counted as refused, and that a header X_Organisation could pass for X-Organisation at an upstream. Refused heads had no log line.

Change: a guard gives slots back; an attempt counts as a possible run until its result is known; retries and half deadlines need another target; callers that left have a counter of their own; header names are compared with dashes for underscores; answers of a draining instance close their connection.

Conclusion: the counters tell refusals only, and the budget pays for retries that are made.

--- a/modules/gateway/caller_exchange.h
+++ b/modules/gateway/caller_exchange.h
@@ -16,6 +16,8 @@
   std::string mText;
   /// The length of the body that a HEAD request does not get.
   std::optional<std::uint64_t> mHeadLength;
+  /// The connection ends after this answer.
+  bool mCloses = false;
 };
 
 struct caller_timeouts
--- a/modules/gateway/caller_server.cpp
+++ b/modules/gateway/caller_server.cpp
@@ -1,5 +1,6 @@
 #include "modules/gateway/caller_server.h"
 
+#include "core/log.h"
 #include "modules/gateway/bounded_task_queue.h"
 #include "modules/gateway/caller_stream.h"
 #include "modules/gateway/request_id.h"
@@ -173,7 +174,7 @@
   connection served(aSocket);
   tConnection = &served;
   if (mQueue.load()->IsRefusing()) {
-    RefuseConnection(served);
+    Refuse(served, refusal_reason::Overloaded, kRefusedLingerTimeout);
   } else {
     ServeConnection(served);
   }
@@ -219,8 +220,8 @@
     std::move(*head), socket, aConnection.mReader, mOptions.mTimeouts.mBody);
   aConnection.mAnswer = mHandler(exchange);
   aConnection.mIsClosing =
-    !exchange.IsBodyRead() || exchange.Head().WantsClose() ||
-    mConnections.IsStopping() ||
+    aConnection.mAnswer.mCloses || !exchange.IsBodyRead() ||
+    exchange.Head().WantsClose() || mConnections.IsStopping() ||
     (!aConnection.mReader.HasBuffered() && mQueue.load()->HasWaiting());
   if (!WriteAnswer(aConnection, isHead)) {
     return false;
@@ -237,26 +238,29 @@
   if (aError == read_error::Closed) {
     return;
   }
-  const auto reason = aError == read_error::HeadTooLarge
-                        ? refusal_reason::HeadersTooLarge
-                        : refusal_reason::RequestMalformed;
-  mMetrics.Counter(RefusalCounterName(reason)).Add();
-  aConnection.mAnswer = MakeRefusalAnswer(refusal(reason), MakeRequestId());
-  aConnection.mIsClosing = true;
-  if (WriteAnswer(aConnection, false)) {
-    ReadUntilClosed(aConnection.mSocket, kLingerTimeout);
-  }
+  Refuse(aConnection,
+         aError == read_error::HeadTooLarge ? refusal_reason::HeadersTooLarge
+                                            : refusal_reason::RequestMalformed,
+         kLingerTimeout);
 }
 
 void
-caller_server::RefuseConnection(connection& aConnection)
+caller_server::Refuse(connection& aConnection,
+                      refusal_reason aReason,
+                      duration aLinger)
 {
-  mMetrics.Counter(RefusalCounterName(refusal_reason::Overloaded)).Add();
-  aConnection.mAnswer =
-    MakeRefusalAnswer(refusal(refusal_reason::Overloaded), MakeRequestId());
+  const auto id = MakeRequestId();
+  mMetrics.Counter(RefusalCounterName(aReason)).Add();
+  aConnection.mAnswer = MakeRefusalAnswer(refusal(aReason), id);
   aConnection.mIsClosing = true;
+  Log(log_level::Info,
+      "request",
+      { { "request_id", id },
+        { "status", std::to_string(aConnection.mAnswer.mStatus) },
+        { "reason", std::string(Describe(aReason).mName) },
+        { "ran", "not_run" } });
   if (WriteAnswer(aConnection, false)) {
-    ReadUntilClosed(aConnection.mSocket, kRefusedLingerTimeout);
+    ReadUntilClosed(aConnection.mSocket, aLinger);
   }
 }
 
--- a/modules/gateway/caller_server.h
+++ b/modules/gateway/caller_server.h
@@ -62,7 +62,10 @@
   void ServeConnection(connection& aConnection);
   /// Serves one request. False when the connection ends.
   bool ServeRequest(connection& aConnection);
-  void RefuseConnection(connection& aConnection);
+  /// Refuses what was not read as a request, and ends the connection.
+  void Refuse(connection& aConnection,
+              refusal_reason aReason,
+              duration aLinger);
   bool WriteAnswer(connection& aConnection, bool aIsHead);
   void RefuseHead(connection& aConnection, read_error aError);
 
--- a/modules/gateway/header_hygiene.cpp
+++ b/modules/gateway/header_hygiene.cpp
@@ -47,6 +47,15 @@
                      });
 }
 
+/// Upstreams that map header names to variables read "X_Organisation" as
+/// "X-Organisation".
+std::string
+WithDashes(std::string aName)
+{
+  std::replace(aName.begin(), aName.end(), '_', '-');
+  return aName;
+}
+
 bool
 ContainsKey(std::string_view aText, std::string_view aKey)
 {
@@ -135,9 +144,10 @@
   const auto named = aHeaders.Tokens("Connection");
   header_list kept;
   for (const auto& line : aHeaders.Lines()) {
+    const auto name = WithDashes(line.mName);
     const bool isDropped =
-      HasName(kHopByHop, line.mName) || HasName(kNotFromCallers, line.mName) ||
-      HasPrivatePrefix(line.mName) || HasName(named, line.mName) ||
+      HasName(kHopByHop, name) || HasName(kNotFromCallers, name) ||
+      HasPrivatePrefix(name) || HasName(named, line.mName) ||
       ContainsKey(line.mValue, aKey) || ContainsKey(line.mName, aKey);
     if (!isDropped) {
       kept.Add(line.mName, line.mValue);
--- a/modules/gateway/request_context.h
+++ b/modules/gateway/request_context.h
@@ -22,6 +22,11 @@
   }
   bool HasRoute() const { return mHasRoute; }
   duration TimeLeft() const { return mDeadline - ReadBootClock(); }
+  /// True when a target is left besides the one that is tried.
+  bool HasOtherTarget() const
+  {
+    return mTargetRequest.mExcluded.size() + 1 < Service().mTargets.size();
+  }
   /// What a refusal may say about attempts made so far.
   ran_state Ran() const
   {
@@ -44,6 +49,8 @@
   std::optional<finished_answer> mReplay;
   std::uint32_t mAttempts = 0;
   bool mMayHaveRun = false;
+  bool mIsDraining = false;
+  bool mHasCallerLeft = false;
 };
 
 } // namespace cowslipline
--- a/modules/gateway/request_pipeline.cpp
+++ b/modules/gateway/request_pipeline.cpp
@@ -171,6 +171,45 @@
   return name;
 }
 
+/// Gives the slot of a chosen target back unless the attempt is reported.
+class slot_guard
+{
+public:
+  slot_guard(target_decision& aTargets,
+             const target_request& aRequest,
+             const chosen_target& aTarget)
+    : mTargets(aTargets)
+    , mRequest(aRequest)
+    , mTarget(aTarget)
+  {
+  }
+  slot_guard(const slot_guard&) = delete;
+  slot_guard& operator=(const slot_guard&) = delete;
+  ~slot_guard()
+  {
+    if (!mIsKept) {
+      mTargets.Abandon(mRequest, mTarget);
+    }
+  }
+  void Keep() { mIsKept = true; }
+
+private:
+  target_decision& mTargets;
+  const target_request& mRequest;
+  const chosen_target& mTarget;
+  bool mIsKept = false;
+};
+
+upstream_endpoint
+EndpointOf(const service& aService, const chosen_target& aTarget)
+{
+  const auto& target = aService.mTargets[aTarget.mTarget];
+  return { target.mHost,
+           target.mPort,
+           std::max<std::size_t>(1,
+                                 aService.mConnectionsPerTarget / kFleetSize) };
+}
+
 digest16
 FingerprintOf(const request_context& aContext)
 {
@@ -229,6 +268,7 @@
   if (refused) {
     answer = MakeRefusalAnswer(*refused, context.mRequestId);
   }
+  answer.mCloses = context.mIsDraining;
   Record(context, answer, refused);
   return answer;
 }
@@ -376,8 +416,9 @@
 request_pipeline::step_result
 request_pipeline::CheckReadiness(request_context& aContext)
 {
-  return std::visit(readiness_visitor{ aContext.Route().mIsOpen },
-                    mDecisions.mReadiness.Current());
+  const auto state = mDecisions.mReadiness.Current();
+  aContext.mIsDraining = std::holds_alternative<instance_draining>(state);
+  return std::visit(readiness_visitor{ aContext.Route().mIsOpen }, state);
 }
 
 request_pipeline::step_result
@@ -503,24 +544,22 @@
 request_pipeline::Attempt(request_context& aContext,
                           const chosen_target& aTarget)
 {
-  const auto& target = aContext.Service().mTargets[aTarget.mTarget];
+  slot_guard slot(mDecisions.mTargets, aContext.mTargetRequest, aTarget);
   const auto request = MakeUpstreamRequest(aContext);
-  const upstream_endpoint endpoint{
-    target.mHost,
-    target.mPort,
-    std::max<std::size_t>(1,
-                          aContext.Service().mConnectionsPerTarget / kFleetSize)
-  };
   if (aContext.Route().mCancelOnDisconnect &&
       HasPeerLeft(aContext.mExchange.Descriptor())) {
-    mDecisions.mTargets.Abandon(aContext.mTargetRequest, aTarget);
+    aContext.mHasCallerLeft = true;
     return tl::unexpected(
       refusal(refusal_reason::UpstreamUnreachable, aContext.Ran()));
   }
   ++aContext.mAttempts;
-  auto attempted = mUpstreams.Exchange(endpoint, request);
+  const bool hadRun = aContext.mMayHaveRun;
+  // Stays so when the exchange ends with an exception.
+  aContext.mMayHaveRun = true;
+  auto attempted =
+    mUpstreams.Exchange(EndpointOf(aContext.Service(), aTarget), request);
+  aContext.mMayHaveRun = hadRun || (attempted && attempted->MayHaveRun());
   if (!attempted) {
-    mDecisions.mTargets.Abandon(aContext.mTargetRequest, aTarget);
     return tl::unexpected(refusal(refusal_reason::Overloaded, aContext.Ran()));
   }
   if (attempted->mClass == attempt_class::Success &&
@@ -529,7 +568,9 @@
                      aContext.Head().mMethod == "HEAD")) {
     attempted->mClass = attempt_class::WrongAnswer;
   }
-  aContext.mMayHaveRun = aContext.mMayHaveRun || attempted->MayHaveRun();
+  aContext.mHasCallerLeft =
+    attempted->mClass == attempt_class::Canceled && !attempted->mIsOverBudget;
+  slot.Keep();
   Report(aContext, aTarget, *attempted);
   return std::move(*attempted);
 }
@@ -567,7 +608,8 @@
 {
   const auto left = aContext.TimeLeft();
   const auto& route = aContext.Route();
-  if (!route.mIsIdempotent || aContext.mAttempts + 1 >= kMostAttempts) {
+  if (!route.mIsIdempotent || aContext.mAttempts + 1 >= kMostAttempts ||
+      !aContext.HasOtherTarget()) {
     return left;
   }
   // A target that hangs must leave time for another one.
@@ -605,7 +647,8 @@
   const auto needed =
     std::max(kShortestAttempt, 2 * mLatencies.Median(route.mId));
   if (aResult.mClass == attempt_class::Canceled || !isSafe ||
-      aContext.mAttempts >= kMostAttempts || aContext.TimeLeft() < needed ||
+      aContext.mAttempts >= kMostAttempts || !aContext.HasOtherTarget() ||
+      aContext.TimeLeft() < needed ||
       !mDecisions.mTargets.TakeRetry(aContext.mTargetRequest)) {
     return false;
   }
@@ -677,7 +720,10 @@
   mMetrics.ObserveSeconds("cowslipline_request_seconds",
                           std::chrono::duration<double>(took).count());
   mMetrics.Counter("cowslipline_requests_total").Add();
-  if (aRefusal) {
+  if (aContext.mHasCallerLeft) {
+    // Nobody was refused.
+    mMetrics.Counter("cowslipline_callers_left_total").Add();
+  } else if (aRefusal) {
     mMetrics.Counter(RefusalCounterName(aRefusal->mReason)).Add();
   }
   Log(log_level::Info,
--- a/tests/gateway/loopback.h
+++ b/tests/gateway/loopback.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <cstring>
 #include <functional>
 #include <map>
 #include <mutex>
--- a/tests/gateway/test_exchange.cpp
+++ b/tests/gateway/test_exchange.cpp
@@ -246,6 +246,7 @@
   {
     std::atomic<int> wrong{ 0 };
     std::vector<std::thread> callers;
+    callers.reserve(4);
     for (int caller = 0; caller < 4; ++caller) {
       callers.emplace_back([&, caller] {
         auto socket = fixture.Connect();
@@ -353,7 +354,7 @@
   random_source random(20261204);
   for (std::size_t i = 0; i + 8 <= body.size(); i += 8) {
     const auto value = random.Next();
-    std::copy_n(reinterpret_cast<const char*>(&value), 8, body.begin() + i);
+    std::memcpy(body.data() + i, &value, sizeof(value));
   }
   const auto answer = fixture.Call("POST", "/echo", body);
   CHECK(answer.mBody == body);
@@ -385,6 +386,12 @@
     CHECK(WaitUntil([&] { return canceled == 1; }));
     CHECK(WaitUntil([&] { return fixture.mDecisions.Reports().size() == 1; }));
     CHECK(fixture.mDecisions.Reports()[0] == attempt_class::Canceled);
+    // It counts as no refusal.
+    CHECK(WaitUntil([&] {
+      return fixture.mMetrics.Counter("cowslipline_callers_left_total")
+               .Value() == 1;
+    }));
+    LONGS_EQUAL(0, fixture.Refusals(refusal_reason::UpstreamIncomplete));
   }
   SECTION("a request that goes on is finished")
   {
--- a/tests/gateway/test_pipeline.cpp
+++ b/tests/gateway/test_pipeline.cpp
@@ -81,6 +81,7 @@
                {},
                "X-Api-Key: " + key + "\r\nCookie: k=" + key +
                  "\r\nProxy-Authorization: x\r\nX-Organisation: ponds\r\n"
+                 "X_Organisation: ponds\r\n"
                  "X-Deadline-Ms: 99999999\r\nX-Request-Id: bad id\r\n"
                  "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nTE: trailers\r\n"
                  "Upgrade: x\r\nX-Kept: a%0d%0ab\r\n");
@@ -97,6 +98,7 @@
                                        "Proxy-Authorization",
                                        "X-Hop",
                                        "TE",
+                                       "X_Organisation",
                                        "Upgrade" }) {
     CHECK(!seen.HasHeader(name));
   }
@@ -166,6 +168,9 @@
   STRCMP_EQUAL("isolated", order(kGood).c_str());
   LONGS_EQUAL(200, fixture.Call("GET", "/open").Status());
   decisions.mReadiness = instance_draining{ false };
+  const auto last = fixture.Call("GET", "/open");
+  LONGS_EQUAL(200, last.Status());
+  STRCMP_EQUAL("close", last.Header("Connection").c_str());
   decisions.mQuarantine = quarantine_verdict::Quarantined;
   STRCMP_EQUAL("quarantined", order(kGood).c_str());
   // The claim of the quarantined order was given back.
@@ -173,7 +178,7 @@
   decisions.mQuarantine = quarantine_verdict::QuarantinedAfterRun;
   STRCMP_EQUAL("unknown",
                fixture.Call("GET", "/echo").Header("Cowslipline-Ran").c_str());
-  LONGS_EQUAL(1, upstream.Seen().size());
+  LONGS_EQUAL(2, upstream.Seen().size());
 }
 
 TEST(pipeline, ChecksAnswers)
@@ -225,6 +230,8 @@
     gateway_fixture fixture({ port });
     STRCMP_EQUAL("overloaded", ReasonOf(fixture.Call("GET", "/echo")).c_str());
     LONGS_EQUAL(4, shedding.Seen().size());
+    // A retry that cannot be made takes nothing from the budget.
+    LONGS_EQUAL(10, fixture.mDecisions.mRetriesLeft);
   }
   SECTION("not without budget")
   {
