Test connections that close under a request

Cause: AreNotReusedAfterTheUpstreamClosedThem failed in 1 of 12 runs. The gateway reused a connection before the upstream's close had reached it; it refused the request as incomplete with an unknown run, which is right, but the test expected the close to be seen.

Change: that test waits for the close. A new test covers the other case: the request goes to another target when the budget allows it, is never sent again to the same one, and is refused as unknown otherwise.

Conclusion: both orders of close and request have a check of their own.

--- a/tests/gateway/loopback.cpp
+++ b/tests/gateway/loopback.cpp
@@ -240,6 +240,7 @@
     descriptor = descriptor == aDescriptor ? -1 : descriptor;
   }
   socket.Close();
+  ++mClosed;
 }
 
 bool
--- a/tests/gateway/loopback.h
+++ b/tests/gateway/loopback.h
@@ -71,6 +71,8 @@
   void SetScript(script aScript);
   std::vector<http_message> Seen() const;
   int Connections() const { return mConnections; }
+  /// Connections that are closed again.
+  int Closed() const { return mClosed; }
 
 private:
   void Accept();
@@ -84,6 +86,7 @@
   std::vector<int> mOpen;
   std::vector<std::thread> mThreads;
   std::atomic<int> mConnections{ 0 };
+  std::atomic<int> mClosed{ 0 };
   std::thread mAcceptor;
 };
 
--- a/tests/gateway/test_exchange.cpp
+++ b/tests/gateway/test_exchange.cpp
@@ -297,13 +297,44 @@
     return false;
   });
   gateway_fixture fixture({ upstream.Port() });
+  int calls = 0;
   for (const std::string body : { "a", "b", "c" }) {
     STRCMP_EQUAL(body.c_str(),
                  fixture.Call("POST", "/echo", body).mBody.c_str());
+    ++calls;
+    // Before that, the gateway cannot know.
+    CHECK(WaitUntil([&] { return upstream.Closed() == calls; }));
   }
   LONGS_EQUAL(3, upstream.Connections());
 }
 
+// Guards against a re-send on the same target when the upstream closes a
+// kept-alive connection while the next request is on its way: the request may
+// have run.
+TEST(connections, ThatCloseUnderARequestLeaveItsRunUnknown)
+{
+  scripted_upstream closing([](const http_message& aRequest, auto& aSocket) {
+    return aRequest.mBody != "second" &&
+           scripted_upstream::Echo(aRequest, aSocket);
+  });
+  scripted_upstream healthy;
+  gateway_fixture fixture({ closing.Port(), healthy.Port() });
+  fixture.Call("POST", "/echo", "first");
+  STRCMP_EQUAL("second", fixture.Call("POST", "/echo", "second").mBody.c_str());
+  LONGS_EQUAL(1, closing.Connections());
+  LONGS_EQUAL(2, closing.Seen().size());
+  LONGS_EQUAL(1, healthy.Seen().size());
+
+  fixture.mDecisions.mRetriesLeft = 0;
+  fixture.Call("POST", "/echo", "first");
+  const auto refused = fixture.Call("POST", "/echo", "second");
+  STRCMP_EQUAL("upstream_incomplete",
+               refused.Header("Cowslipline-Reason").c_str());
+  STRCMP_EQUAL("unknown", refused.Header("Cowslipline-Ran").c_str());
+  LONGS_EQUAL(2, closing.Connections());
+  LONGS_EQUAL(2, fixture.mDecisions.mResets);
+}
+
 // Guards against connections that went silent for good while new ones work.
 TEST(connections, AsOldAsASilentOneAreNotReused)
 {
