--- a/tests/gateway/test_exchange.cpp
+++ b/tests/gateway/test_exchange.cpp
@@ -246,6 +246,7 @@
   {
     std::atomic<int> wrong{ 0 };
     std::vector<std::thread> callers;
+    callers.reserve(4);
     for (int caller = 0; caller < 4; ++caller) {
       callers.emplace_back([&, caller] {
         auto socket = fixture.Connect();
@@ -296,13 +297,44 @@
     return false;
   });
   gateway_fixture fixture({ upstream.Port() });
+  int calls = 0;
   for (const std::string body : { "a", "b", "c" }) {
     STRCMP_EQUAL(body.c_str(),
                  fixture.Call("POST", "/echo", body).mBody.c_str());
+    ++calls;
+    // Before that, the gateway cannot know.
+    CHECK(WaitUntil([&] { return upstream.Closed() == calls; }));
   }
   LONGS_EQUAL(3, upstream.Connections());
 }
 
+// Guards against a re-send on the same target when the upstream closes a
+// kept-alive connection while the next request is on its way: the request may
+// have run.
+TEST(connections, ThatCloseUnderARequestLeaveItsRunUnknown)
+{
+  scripted_upstream closing([](const http_message& aRequest, auto& aSocket) {
+    return aRequest.mBody != "second" &&
+           scripted_upstream::Echo(aRequest, aSocket);
+  });
+  scripted_upstream healthy;
+  gateway_fixture fixture({ closing.Port(), healthy.Port() });
+  fixture.Call("POST", "/echo", "first");
+  STRCMP_EQUAL("second", fixture.Call("POST", "/echo", "second").mBody.c_str());
+  LONGS_EQUAL(1, closing.Connections());
+  LONGS_EQUAL(2, closing.Seen().size());
+  LONGS_EQUAL(1, healthy.Seen().size());
+
+  fixture.mDecisions.mRetriesLeft = 0;
+  fixture.Call("POST", "/echo", "first");
+  const auto refused = fixture.Call("POST", "/echo", "second");
+  STRCMP_EQUAL("upstream_incomplete",
+               refused.Header("Cowslipline-Reason").c_str());
+  STRCMP_EQUAL("unknown", refused.Header("Cowslipline-Ran").c_str());
+  LONGS_EQUAL(2, closing.Connections());
+  LONGS_EQUAL(2, fixture.mDecisions.mResets);
+}
+
 // Guards against connections that went silent for good while new ones work.
 TEST(connections, AsOldAsASilentOneAreNotReused)
 {
@@ -353,7 +385,7 @@
   random_source random(20261204);
   for (std::size_t i = 0; i + 8 <= body.size(); i += 8) {
     const auto value = random.Next();
-    std::copy_n(reinterpret_cast<const char*>(&value), 8, body.begin() + i);
+    std::memcpy(body.data() + i, &value, sizeof(value));
   }
   const auto answer = fixture.Call("POST", "/echo", body);
   CHECK(answer.mBody == body);
@@ -385,6 +417,12 @@
     CHECK(WaitUntil([&] { return canceled == 1; }));
     CHECK(WaitUntil([&] { return fixture.mDecisions.Reports().size() == 1; }));
     CHECK(fixture.mDecisions.Reports()[0] == attempt_class::Canceled);
+    // It counts as no refusal.
+    CHECK(WaitUntil([&] {
+      return fixture.mMetrics.Counter("cowslipline_callers_left_total")
+               .Value() == 1;
+    }));
+    LONGS_EQUAL(0, fixture.Refusals(refusal_reason::UpstreamIncomplete));
   }
   SECTION("a request that goes on is finished")
   {
