Send more requests to a target under suspicion

Change: from 0.45 of the threshold the owner asks all instances to send the target about three times its share for a second; the decision takes as many failures as before but less time, so the threshold rises to 18.8 (five failures).

The test of a partition seen by one zone fails: connect failures are now decided before others are heard.

--- a/modules/health/ejection_holder.cpp
+++ b/modules/health/ejection_holder.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include <nlohmann/json.hpp>
+
 namespace cowslipline {
 
 namespace {
@@ -45,6 +47,30 @@
       Apply(aFrom, *ejections);
       return std::string();
     });
+  mChannel->Handle(
+    std::string(kSuspectService),
+    [this](const instance_name&,
+           std::string_view aPayload,
+           yield_context) -> result<std::string> {
+      const auto value = nlohmann::json::from_cbor(aPayload, true, false);
+      if (!value.is_array() || value.size() != 2 ||
+          !value[0].is_number_unsigned() || !value[1].is_number_unsigned()) {
+        return Fail(errc::MessageMalformed);
+      }
+      Suspect(value[0].get<std::uint32_t>(), value[1].get<std::uint32_t>());
+      return std::string();
+    });
+}
+
+void
+ejection_holder::Suspect(std::uint32_t aService, std::uint32_t aTarget)
+{
+  auto* const service = mTable->FindByHash(aService);
+  auto* const state =
+    service == nullptr ? nullptr : service->FindTargetByHash(aTarget);
+  if (state != nullptr) {
+    state->mSuspectUntil = mScheduler->Now() + kSuspectTime;
+  }
 }
 
 void
--- a/modules/health/ejection_holder.h
+++ b/modules/health/ejection_holder.h
@@ -28,6 +28,9 @@
   void Apply(const instance_name& aFrom,
              const std::vector<ejection>& aEjections);
 
+  /// More requests go to the target for a second, by hashes of the names.
+  void Suspect(std::uint32_t aService, std::uint32_t aTarget);
+
   /// Digest of what is held for the service by decision of aOwner.
   std::uint32_t HeldDigest(const service_state& aService,
                            const instance_name& aOwner) const;
--- a/modules/health/ejection_owner.cpp
+++ b/modules/health/ejection_owner.cpp
@@ -72,6 +72,9 @@
   auto& detector = DetectorOf(aEvidence.mService);
   const auto decisions =
     detector.Add(aFrom, ZoneOf(aFrom), aEvidence, mScheduler->Now());
+  for (const auto suspect : detector.TakeSuspects()) {
+    PublishSuspect(aEvidence.mService, suspect);
+  }
   if (detector.TakeQuestion()) {
     Ask(aEvidence.mService);
   }
@@ -101,6 +104,21 @@
   });
 }
 
+void
+ejection_owner::PublishSuspect(std::uint32_t aService, std::uint32_t aTarget)
+{
+  mMetrics->Counter("cowslipline_health_suspicions_total").Add();
+  mHolder->Suspect(aService, aTarget);
+  std::string payload;
+  nlohmann::json::to_cbor(nlohmann::json::array({ aService, aTarget }),
+                          payload);
+  for (const auto& peer : mMembership->LiveMembers()) {
+    if (peer.mName != mMembership->Self().mName) {
+      mChannel->Send(peer.mName, kSuspectService, payload);
+    }
+  }
+}
+
 void
 ejection_owner::Publish(const std::vector<ejection>& aDecisions)
 {
--- a/modules/health/ejection_owner.h
+++ b/modules/health/ejection_owner.h
@@ -13,6 +13,7 @@
 
 constexpr std::string_view kEvidenceService = "health.evidence";
 constexpr std::string_view kQuestionService = "health.question";
+constexpr std::string_view kSuspectService = "health.suspect";
 constexpr std::string_view kEjectionService = "health.ejection";
 
 /// The owner's part: takes evidence, decides and sends ejections.
@@ -38,6 +39,9 @@
   service_detector& DetectorOf(std::uint32_t aService);
   /// Asks all members for their counts now and decides on the answers.
   void Ask(std::uint32_t aService);
+  /// Makes all members send more requests to a target under suspicion: the
+  /// decision takes as many failures as before, but less time.
+  void PublishSuspect(std::uint32_t aService, std::uint32_t aTarget);
   void Publish(const std::vector<ejection>& aDecisions);
   void Correct(const instance_name& aTo,
                const service_evidence& aEvidence,
--- a/modules/health/service_detector.cpp
+++ b/modules/health/service_detector.cpp
@@ -15,7 +15,7 @@
 
 /// Rates that each test decides between, by reason.
 constexpr std::array<fault_rates, kFaultKinds> kRates = { {
-  { 0.001, 0.1, 14.2, 6, 0.1 },
+  { 0.001, 0.1, 18.8, 6, 0.1 },
   // A target that refuses connections refuses all: a single success elsewhere
   // points at the path.
   { 0.001, 0.5, 12, 2, 0.95 },
@@ -32,6 +32,10 @@
 /// An ejection that is this young is withdrawn when the fault turns out to be
 /// shared: the first target to trip was only the unluckiest.
 constexpr duration kWithdrawAge = std::chrono::seconds(3);
+/// Share of the threshold from which a target is suspect.
+constexpr double kSuspectShare = 0.45;
+/// Half of the time for which instances keep a target suspect.
+constexpr duration kSuspectInterval = kSuspectTime / 2;
 constexpr duration kQuestionAge = std::chrono::seconds(1);
 constexpr duration kSlowBucketAge = std::chrono::milliseconds(250);
 /// Buckets that make three times the median.
@@ -84,6 +88,7 @@
     if (!IsCovered(watched, aFrom, aZone)) {
       AddCounts(aFrom, aZone, one, aNow);
       Decide(one.mTarget, aNow, decisions);
+      Suspect(one.mTarget, aNow);
     }
   }
   return decisions;
@@ -218,6 +223,28 @@
   return failing * 2 > others && faults >= trials * lowest;
 }
 
+void
+service_detector::Suspect(std::uint32_t aTarget, steady_time aNow)
+{
+  auto& watched = mTargets.at(aTarget);
+  if (!watched.mActive.empty() ||
+      aNow - watched.mSuspected < kSuspectInterval) {
+    return;
+  }
+  // Slow targets are found fast enough without more requests.
+  for (const auto reason :
+       { ejection_reason::Errors, ejection_reason::ConnectFailures }) {
+    const auto threshold = kRates.at(IndexOf(reason)).mThreshold;
+    if (watched.mTests.at(IndexOf(reason)).Score() >=
+          threshold * kSuspectShare &&
+        !IsShared(aTarget, reason, aNow)) {
+      watched.mSuspected = aNow;
+      mSuspects.push_back(aTarget);
+      return;
+    }
+  }
+}
+
 bool
 service_detector::IsConfirmed(watched_target& aTarget, steady_time aNow)
 {
--- a/modules/health/service_detector.h
+++ b/modules/health/service_detector.h
@@ -16,6 +16,9 @@
 
 constexpr std::size_t kFaultKinds = 3;
 
+/// How long a target gets more requests on suspicion.
+constexpr duration kSuspectTime = std::chrono::seconds(1);
+
 /// Time that instances have to answer a question of the owner: successes are
 /// reported only every 500 ms, and the scope depends on them.
 constexpr duration kAnswerTime = std::chrono::milliseconds(20);
@@ -40,6 +43,11 @@
   /// True once when a decision waits for what the other instances see; Review()
   /// takes it after their answers.
   bool TakeQuestion() { return std::exchange(mHasQuestion, false); }
+  /// Targets about which more evidence is wanted, by hash.
+  std::vector<std::uint32_t> TakeSuspects()
+  {
+    return std::exchange(mSuspects, {});
+  }
   std::vector<ejection> Review(steady_time aNow);
 
   steady_time LastEvidence() const { return mLastEvidence; }
@@ -63,6 +71,7 @@
     std::uint32_t mRepeats = 0;
     steady_time mLastEnd{};
     steady_time mAsked{};
+    steady_time mSuspected{};
   };
 
   watched_target& WatchedOf(std::uint32_t aTarget);
@@ -83,6 +92,7 @@
   bool IsShared(std::uint32_t aTarget,
                 ejection_reason aReason,
                 steady_time aNow) const;
+  void Suspect(std::uint32_t aTarget, steady_time aNow);
   /// Whether the others have had time to answer; asks them if they were not.
   bool IsConfirmed(watched_target& aTarget, steady_time aNow);
   void Decide(std::uint32_t aTarget,
@@ -101,6 +111,7 @@
   std::map<std::uint32_t, watched_target> mTargets;
   steady_time mLastEvidence{};
   bool mHasQuestion = false;
+  std::vector<std::uint32_t> mSuspects;
 };
 
 } // namespace cowslipline
--- a/modules/health/target_selector.cpp
+++ b/modules/health/target_selector.cpp
@@ -8,6 +8,8 @@
 
 /// The own zone is preferred until it is this much more loaded than others.
 constexpr double kOwnZoneLoadFactor = 1.2;
+/// In shares of one target among equals.
+constexpr double kSuspectExtraShare = 2;
 
 bool
 IsExcluded(const excluded_targets& aExcluded, const target_state& aState)
@@ -76,7 +78,9 @@
     mMetrics->Counter("cowslipline_health_overloaded_total").Add();
     return Fail(errc::Overloaded);
   }
-  const auto picked = PickByLoad(PreferOwnZone(std::move(candidates)));
+  const auto suspect = PickSuspect(candidates);
+  const auto picked =
+    suspect ? *suspect : PickByLoad(PreferOwnZone(std::move(candidates)));
   ++state->mTargets[picked]->mInFlight;
   return target_choice{ aService,
                         picked,
@@ -103,7 +107,8 @@
     candidates.push_back({ i,
                            state.mLoad.Score(state.mInFlight, typical, now),
                            state.WeightAt(now),
-                           aSettings.mTargets[i].mAvailabilityZone == zone });
+                           aSettings.mTargets[i].mAvailabilityZone == zone,
+                           now < state.mSuspectUntil });
   }
   return candidates;
 }
@@ -141,6 +146,20 @@
   return aCandidates;
 }
 
+std::optional<target_index>
+target_selector::PickSuspect(const std::vector<candidate>& aCandidates)
+{
+  // Only for targets at full weight: a slow start must stay slow.
+  for (const auto& one : aCandidates) {
+    const double share =
+      kSuspectExtraShare / static_cast<double>(aCandidates.size());
+    if (one.mIsSuspect && one.mWeight >= 1 && mRandom.Unit() < share) {
+      return one.mTarget;
+    }
+  }
+  return std::nullopt;
+}
+
 std::size_t
 target_selector::Draw(const std::vector<candidate>& aCandidates)
 {
--- a/modules/health/target_selector.h
+++ b/modules/health/target_selector.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -69,6 +70,7 @@
     double mLoad = 0;
     double mWeight = 1;
     bool mIsLocal = false;
+    bool mIsSuspect = false;
   };
 
   std::vector<candidate> FindCandidates(const service& aSettings,
@@ -76,6 +78,10 @@
                                         const service_usage& aUsage,
                                         const excluded_targets& aExcluded);
   std::vector<candidate> PreferOwnZone(std::vector<candidate> aCandidates);
+  /// A target under suspicion, for about three times its usual share of the
+  /// requests; the owner needs evidence.
+  std::optional<target_index> PickSuspect(
+    const std::vector<candidate>& aCandidates);
   std::size_t Draw(const std::vector<candidate>& aCandidates);
   target_index PickByLoad(const std::vector<candidate>& aCandidates);
   target_state* EndAttempt(const target_choice& aChoice);
--- a/modules/health/target_state.h
+++ b/modules/health/target_state.h
@@ -44,6 +44,8 @@
   evidence_counts mEvidence;
   steady_time mDrainingUntil{};
   steady_time mDrainNoticeSent{};
+  /// The owner wants more evidence about the target until then.
+  steady_time mSuspectUntil{};
   /// Start of the slow start; long ago for a target that was never out.
   steady_time mInUseSince{};
 
