Suspect a target from 0.3 of the threshold on

Cause: at 0.45 two failures had to fall within 8 requests to raise suspicion. Change: 0.3, which two failures within 35 requests reach; the threshold of connect failures rises from 12 to 20, so that a refusing target takes four failures and instances in other zones have time to be heard.

--- a/modules/health/service_detector.cpp
+++ b/modules/health/service_detector.cpp
@@ -18,7 +18,7 @@
   { 0.001, 0.1, 18.8, 6, 0.1 },
   // A target that refuses connections refuses all: a single success elsewhere
   // points at the path.
-  { 0.001, 0.5, 12, 2, 0.95 },
+  { 0.001, 0.5, 20, 2, 0.95 },
   { 0.01, 0.5, 12, 6, 0.3 },
 } };
 
@@ -33,7 +33,7 @@
 /// shared: the first target to trip was only the unluckiest.
 constexpr duration kWithdrawAge = std::chrono::seconds(3);
 /// Share of the threshold from which a target is suspect.
-constexpr double kSuspectShare = 0.45;
+constexpr double kSuspectShare = 0.3;
 /// Half of the time for which instances keep a target suspect.
 constexpr duration kSuspectInterval = kSuspectTime / 2;
 constexpr duration kQuestionAge = std::chrono::seconds(1);
