Limits: shorter cessions in use, and members turn to the next owner

Cause: after an owner's crash its organisations were refused until the cessions of 4 s had ended and membership named another owner. Change: shards with organisations in use are ceded for 1.5 s and renewed every 0.4 s; a member whose cession ends without renewal invites the next owner, and holders ask it when the owner does not answer. Idle shards keep 4 s and 1.3 s.

--- a/modules/limits/fraction_holder.cpp
+++ b/modules/limits/fraction_holder.cpp
@@ -31,6 +31,7 @@
                       const owner_identity& aOwner,
                       std::uint64_t aSequence,
                       bool aIsPreferred,
+                      duration aValidity,
                       steady_time aNow)
 {
   auto& current = mCessions[aShard];
@@ -50,7 +51,10 @@
   mPools[aShard].RemoveSources(aNow);
   current.mOwner = aOwner;
   current.mSequence = aSequence;
-  current.mUntil = aNow + WithClockRateMargin(kCessionValidity);
+  // Never shortened: the owner counts the longer one if this reply is lost.
+  current.mUntil = std::max(isSame ? current.mUntil : aNow,
+                            aNow + WithClockRateMargin(aValidity));
+  current.mIsEndReported = false;
   return mUnits;
 }
 
@@ -78,6 +82,20 @@
   return end;
 }
 
+std::map<instance_name, shard_mask>
+fraction_holder::TakeEnded(steady_time aNow)
+{
+  std::map<instance_name, shard_mask> ended;
+  for (shard_index shard = 0; shard < kShardCount; ++shard) {
+    auto& current = mCessions[shard];
+    if (!current.mIsEndReported && !IsCeded(shard, aNow)) {
+      current.mIsEndReported = true;
+      ended[current.mOwner.mName] |= shard_mask{ 1 } << shard;
+    }
+  }
+  return ended;
+}
+
 bool
 fraction_holder::IsCeded(shard_index aShard, steady_time aNow) const
 {
--- a/modules/limits/fraction_holder.h
+++ b/modules/limits/fraction_holder.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "modules/fleet/membership.h"
+#include "modules/limits/limit_messages.h"
 #include "modules/limits/token_pool.h"
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <string_view>
 
 namespace cowslipline {
@@ -41,6 +43,7 @@
                 const owner_identity& aOwner,
                 std::uint64_t aSequence,
                 bool aIsPreferred,
+                duration aValidity,
                 steady_time aNow);
 
   /// The owner no longer counts the cession. Ignored when the owner has sent a
@@ -54,6 +57,9 @@
   void StopCeding() { mIsCeding = false; }
 
   steady_time EndOfCessions() const;
+  /// Cessions that have ended without renewal since the last call, by owner.
+  std::map<instance_name, shard_mask> TakeEnded(steady_time aNow);
+
   bool IsCeded(shard_index aShard, steady_time aNow) const;
 
   /// Takes a whole token from the own fraction.
@@ -70,6 +76,7 @@
     owner_identity mOwner;
     std::uint64_t mSequence = 0;
     steady_time mUntil{ duration(0) };
+    bool mIsEndReported = true;
     /// When another instance that should be the owner last asked in vain.
     steady_time mContendedAt{ duration(0) };
   };
--- a/modules/limits/limit_constants.h
+++ b/modules/limits/limit_constants.h
@@ -9,13 +9,23 @@
 /// Equal parts into which every rate and burst is divided.
 constexpr unsigned kAllotmentUnits = 240;
 
-/// How long an owner counts a cession, from the moment it sent the request.
+/// How long an owner counts a cession, from the moment it sent the request, and
+/// how often it asks. While organisations of the shard are in use, both are
+/// shorter: after the owner's failure nobody can grant the ceded tokens until
+/// the cessions have ended. The values belong to the protocol version, since
+/// both sides must use the same.
 constexpr duration kCessionValidity = std::chrono::seconds(4);
 constexpr duration kCessionPeriod = std::chrono::milliseconds(1300);
+constexpr duration kCessionValidityInUse = std::chrono::milliseconds(1500);
+constexpr duration kCessionPeriodInUse = std::chrono::milliseconds(400);
+
+/// An instance to which a member turned after the owner failed acts as owner
+/// for so long, until membership names the next owner.
+constexpr duration kInvitationTime = std::chrono::seconds(10);
 
 /// How long a holder may use granted tokens, from the moment it sent its
 /// request.
-constexpr duration kTokenValidity = std::chrono::milliseconds(500);
+constexpr duration kTokenValidity = std::chrono::milliseconds(300);
 
 /// The side that promises waits longer by this part than the side that relies
 /// on the promise: clock rates may differ by 2%.
--- a/modules/limits/limit_messages.cpp
+++ b/modules/limits/limit_messages.cpp
@@ -69,7 +69,8 @@
                   { "k", static_cast<int>(aMessage.mKind) },
                   { "b", aMessage.mBoot },
                   { "q", aMessage.mSequence },
-                  { "s", aMessage.mShards } });
+                  { "s", aMessage.mShards },
+                  { "u", aMessage.mInUse } });
 }
 
 std::string
@@ -131,7 +132,8 @@
       return cede_message{ static_cast<cede_kind>(kind),
                            aValue.at("b").get<std::uint64_t>(),
                            aValue.at("q").get<std::uint64_t>(),
-                           aValue.at("s").get<shard_mask>() };
+                           aValue.at("s").get<shard_mask>(),
+                           aValue.at("u").get<shard_mask>() };
     });
 }
 
--- a/modules/limits/limit_messages.h
+++ b/modules/limits/limit_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/result.h"
+#include "modules/limits/limit_constants.h"
 #include "modules/limits/token_pool.h"
 
 #include <cstdint>
@@ -20,7 +21,8 @@
 {
   Request, ///< The owner asks for the fractions of the shards.
   Release, ///< The owner no longer counts the fractions of the shards.
-  Notice,  ///< The sender has units to cede.
+  Notice,  ///< The sender has units to cede; it takes the receiver for the
+           ///< next owner of the shards, whose owner has failed.
 };
 
 struct cede_message
@@ -29,6 +31,15 @@
   std::uint64_t mBoot = 0;
   std::uint64_t mSequence = 0;
   shard_mask mShards = 0;
+  /// Those of the shards that have organisations in use.
+  shard_mask mInUse = 0;
+
+  /// How long the owner counts a cession of this shard.
+  duration Validity(std::uint32_t aShard) const
+  {
+    return ((mInUse >> aShard) & 1U) != 0 ? kCessionValidityInUse
+                                          : kCessionValidity;
+  }
 };
 
 struct cede_reply
--- a/modules/limits/owner_link.cpp
+++ b/modules/limits/owner_link.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr duration kFirstPause = std::chrono::milliseconds(50);
+constexpr duration kFirstPause = std::chrono::milliseconds(100);
 constexpr int kLargestPauseDoublings = 3;
 
 } // namespace
@@ -71,18 +71,18 @@
 {
   mOwnerBoot = aOwnerBoot;
   mFailures = 0;
+  mAvoidedUntil = steady_time(duration(0));
 }
 
-duration
-owner_link::NoteFailure()
+void
+owner_link::NoteFailure(steady_time aNow)
 {
   ++mFailures;
-  if (!IsFailing()) {
-    return duration(0);
+  if (mFailures >= kFailuresTolerated) {
+    const auto doublings =
+      std::min(mFailures - kFailuresTolerated, kLargestPauseDoublings);
+    mAvoidedUntil = aNow + kFirstPause * (1 << doublings);
   }
-  const auto doublings =
-    std::min(mFailures - kFailuresTolerated, kLargestPauseDoublings);
-  return kFirstPause * (1 << doublings);
 }
 
 } // namespace cowslipline
--- a/modules/limits/owner_link.h
+++ b/modules/limits/owner_link.h
@@ -42,9 +42,10 @@
   steady_time OldestReport() const { return mOldestReport; }
 
   void NoteReply(std::uint64_t aOwnerBoot);
-  /// Returns the pause before the next request.
-  duration NoteFailure();
-  bool IsFailing() const { return mFailures >= kFailuresTolerated; }
+  void NoteFailure(steady_time aNow);
+  /// The owner does not answer; the next owner is asked until one more attempt
+  /// is due.
+  bool IsAvoided(steady_time aNow) const { return aNow < mAvoidedUntil; }
 
   bool mIsBusy = false; ///< A task works on the link.
   event mWork;
@@ -62,6 +63,7 @@
   instance_name mOwner;
   std::uint64_t mOwnerBoot = 0;
   int mFailures = 0;
+  steady_time mAvoidedUntil{ duration(0) };
   std::set<std::string> mWanting;
   std::map<std::string, std::vector<pending_report>> mReports;
   steady_time mOldestReport{ duration(0) };
--- a/modules/limits/rate_limiter.cpp
+++ b/modules/limits/rate_limiter.cpp
@@ -3,6 +3,7 @@
 #include "core/check.h"
 #include "modules/limits/limit_constants.h"
 #include "modules/limits/limit_messages.h"
+#include "modules/limits/next_owner.h"
 
 #include <algorithm>
 #include <set>
@@ -12,6 +13,7 @@
 namespace {
 
 constexpr duration kMaintenancePeriod = std::chrono::seconds(1);
+constexpr duration kCessionCheckPeriod = std::chrono::milliseconds(100);
 constexpr duration kPingTimeout = std::chrono::seconds(1);
 
 } // namespace
@@ -61,6 +63,8 @@
   mScheduler.Spawn([self](yield_context aYield) { self->mTable.Run(aYield); });
   mScheduler.Spawn([self](yield_context aYield) { self->mOwner.Run(aYield); });
   mScheduler.Spawn([self](yield_context aYield) { self->Maintain(aYield); });
+  mScheduler.Spawn(
+    [self](yield_context aYield) { self->WatchCessions(aYield); });
 }
 
 result<void>
@@ -117,6 +121,44 @@
   }
 }
 
+/// Turns to the next owner when the owner of a shard has released its cession
+/// or no longer renews it: membership notices a failure only after 3 s.
+void
+rate_limiter::WatchCessions(yield_context aYield)
+{
+  while (!mHasLeft) {
+    mScheduler.SleepFor(kCessionCheckPeriod, aYield);
+    for (const auto& [failed, shards] : mHolder.TakeEnded(mScheduler.Now())) {
+      if (mHolder.Units() > 0) {
+        InviteNextOwners(failed, shards);
+      }
+    }
+  }
+}
+
+void
+rate_limiter::InviteNextOwners(const instance_name& aFailed, shard_mask aShards)
+{
+  std::map<instance_name, shard_mask> invited;
+  for (shard_index shard = 0; shard < kShardCount; ++shard) {
+    if ((aShards & mLimits.UsedShards() & (shard_mask{ 1 } << shard)) != 0) {
+      invited[NextOwner(*mServices.mMembership, shard, aFailed)] |=
+        shard_mask{ 1 } << shard;
+    }
+  }
+  const auto& self = mServices.mMembership->Self();
+  for (const auto& [name, shards] : invited) {
+    if (name == self.mName) {
+      mOwner.HandleNotice(name, shards);
+    } else if (!name.empty()) {
+      mServices.mChannel->Send(
+        name,
+        kCedeService,
+        Encode(cede_message{ cede_kind::Notice, self.mBoot, 0, shards, 0 }));
+    }
+  }
+}
+
 /// Tells the owners that there are units to cede.
 void
 rate_limiter::SendNotices()
@@ -133,7 +175,7 @@
       mServices.mChannel->Send(
         owner,
         kCedeService,
-        Encode(cede_message{ cede_kind::Notice, self.mBoot, 0, 0 }));
+        Encode(cede_message{ cede_kind::Notice, self.mBoot, 0, 0, 0 }));
     }
   }
 }
@@ -156,7 +198,7 @@
     const auto answer = mServices.mChannel->Call(
       one.mName,
       kCedeService,
-      Encode(cede_message{ cede_kind::Notice, self.mBoot, 0, 0 }),
+      Encode(cede_message{ cede_kind::Notice, self.mBoot, 0, 0, 0 }),
       kPingTimeout,
       aYield);
     if (answer) {
@@ -178,7 +220,7 @@
       Release(aFrom, *message);
       break;
     case cede_kind::Notice:
-      mOwner.HandleNotice(aFrom);
+      mOwner.HandleNotice(aFrom, message->mShards);
       break;
   }
   return std::string();
@@ -197,6 +239,7 @@
                                           { aFrom, aMessage.mBoot },
                                           aMessage.mSequence,
                                           isPreferred,
+                                          aMessage.Validity(shard),
                                           now));
     }
   }
--- a/modules/limits/rate_limiter.h
+++ b/modules/limits/rate_limiter.h
@@ -64,6 +64,8 @@
   explicit rate_limiter(limiter_services aServices);
 
   void Maintain(yield_context aYield);
+  void WatchCessions(yield_context aYield);
+  void InviteNextOwners(const instance_name& aFailed, shard_mask aShards);
   void SendNotices();
   void Ping(yield_context aYield);
   result<std::string> HandleCede(const instance_name& aFrom,
--- a/modules/limits/shard_owner.cpp
+++ b/modules/limits/shard_owner.cpp
@@ -22,9 +22,9 @@
 /// From then on the owner no longer grants from a cession: tokens granted
 /// before must have expired when the cession ends.
 constexpr steady_time
-LastGrant(steady_time aSent)
+LastGrant(steady_time aSent, duration aValidity)
 {
-  return aSent + kCessionValidity - WithClockRateMargin(kTokenValidity);
+  return aSent + aValidity - WithClockRateMargin(kTokenValidity);
 }
 
 } // namespace
@@ -47,29 +47,50 @@
 void
 shard_owner::Run(yield_context aYield)
 {
-  const auto lookup = [this](std::string_view aName) {
-    return mLimits.Find(aName).value_or(rate_limits{});
-  };
+  auto nextFull = mScheduler.Now();
   while (!mIsLeaving) {
     UpdateOwnership();
-    AskAll();
-    const auto end = mScheduler.Now() + kCessionPeriod;
-    while (!mIsLeaving && mScheduler.Now() < end) {
-      ReleaseDrained();
-      const bool isReleasing =
-        std::any_of(mShards.begin(), mShards.end(), [](const auto& aShard) {
-          return aShard.mIsReleasing;
-        });
-      const auto left = end - mScheduler.Now();
-      if (mWake.Wait(mScheduler,
-                     isReleasing ? std::min(left, kReleasePoll) : left,
-                     aYield)) {
-        break;
-      }
-    }
-    for (auto& shard : mShards) {
-      shard.mPool.DropIdle(lookup, mScheduler.Now());
+    const auto now = mScheduler.Now();
+    // A shard that is no longer in use needs its long cession before the short
+    // one ends, or its fractions would return empty.
+    const auto inUse = ShardsInUse();
+    const bool isFull = now >= nextFull || OwnedShards() != mAskedShards ||
+                        (mShardsLastInUse & ~inUse) != 0;
+    mShardsLastInUse = inUse;
+    if (isFull) {
+      nextFull = now + kCessionPeriod;
+      mAskedShards = OwnedShards();
     }
+    AskAll(isFull ? mAskedShards : inUse);
+    SleepUntilNextRound(std::min(now + kCessionPeriodInUse, nextFull), aYield);
+    DropIdle();
+  }
+}
+
+void
+shard_owner::SleepUntilNextRound(steady_time aEnd, yield_context aYield)
+{
+  bool isWoken = false;
+  while (!isWoken && !mIsLeaving && mScheduler.Now() < aEnd) {
+    ReleaseDrained();
+    const bool isReleasing =
+      std::any_of(mShards.begin(), mShards.end(), [](const auto& aShard) {
+        return aShard.mIsReleasing;
+      });
+    const auto left = aEnd - mScheduler.Now();
+    isWoken = mWake.Wait(
+      mScheduler, isReleasing ? std::min(left, kReleasePoll) : left, aYield);
+  }
+}
+
+void
+shard_owner::DropIdle()
+{
+  const auto lookup = [this](std::string_view aName) {
+    return mLimits.Find(aName).value_or(rate_limits{});
+  };
+  for (auto& shard : mShards) {
+    shard.mPool.DropIdle(lookup, mScheduler.Now());
   }
 }
 
@@ -121,9 +142,20 @@
 }
 
 void
-shard_owner::HandleNotice(const instance_name& aFrom)
+shard_owner::HandleNotice(const instance_name& aFrom, shard_mask aShards)
 {
   mNoticed.insert(aFrom);
+  const auto until = mScheduler.Now() + kInvitationTime;
+  for (shard_index shard = 0; shard < kShardCount; ++shard) {
+    if ((aShards & Bit(shard)) != 0) {
+      mShards[shard].mInvitedUntil = until;
+    }
+  }
+  if ((aShards & ~OwnedShards()) != 0) {
+    // The others have lost the same owner at about the same time.
+    mWake.Set();
+    return;
+  }
   const auto shards = OwnedShards();
   if (shards != 0 && !mIsLeaving) {
     mScheduler.Spawn([this, aFrom, shards](yield_context aYield) {
@@ -174,8 +206,9 @@
 {
   const auto used = mLimits.UsedShards();
   for (shard_index shard = 0; shard < kShardCount; ++shard) {
-    const bool isOwner =
-      (used & Bit(shard)) != 0 && mMembership->OwnerOf(shard) == Self().mName;
+    const bool isNamed = mMembership->OwnerOf(shard) == Self().mName;
+    const bool isInvited = mScheduler.Now() < mShards[shard].mInvitedUntil;
+    const bool isOwner = (used & Bit(shard)) != 0 && (isNamed || isInvited);
     if (isOwner && !mShards[shard].mIsOwned) {
       StartOwning(shard);
     } else if (!isOwner && mShards[shard].mIsOwned) {
@@ -219,7 +252,7 @@
   }
   for (const auto& [name, shards] : released) {
     const cede_message message{
-      cede_kind::Release, Self().mBoot, ++mSequence, shards
+      cede_kind::Release, Self().mBoot, ++mSequence, shards, 0
     };
     // A reply to an earlier request must not be counted after this.
     mAppliedSequence[name] = message.mSequence;
@@ -236,34 +269,47 @@
 }
 
 void
-shard_owner::AskAll()
+shard_owner::AskAll(shard_mask aShards)
 {
-  const auto shards = OwnedShards();
-  if (shards == 0) {
+  if (aShards == 0) {
     return;
   }
-  AskSelf(shards);
+  AskSelf(aShards);
   for (const auto& name : MembersToAsk()) {
-    mScheduler.Spawn([this, name, shards](yield_context aYield) {
-      AskPeer(name, shards, aYield);
+    mScheduler.Spawn([this, name, aShards](yield_context aYield) {
+      AskPeer(name, aShards, aYield);
     });
   }
 }
 
+cede_message
+shard_owner::NextRequest(shard_mask aShards)
+{
+  return { cede_kind::Request,
+           Self().mBoot,
+           ++mSequence,
+           aShards,
+           aShards & ShardsInUse() };
+}
+
 void
 shard_owner::AskSelf(shard_mask aShards)
 {
   const auto now = mScheduler.Now();
-  const auto sequence = ++mSequence;
+  const auto request = NextRequest(aShards);
   mTable.CheckIsolation();
   std::vector<unsigned> units;
   for (shard_index shard = 0; shard < kShardCount; ++shard) {
     if ((aShards & Bit(shard)) != 0) {
-      units.push_back(mHolder.Cede(
-        shard, { Self().mName, Self().mBoot }, sequence, true, now));
+      units.push_back(mHolder.Cede(shard,
+                                   { Self().mName, Self().mBoot },
+                                   request.mSequence,
+                                   true,
+                                   request.Validity(shard),
+                                   now));
     }
   }
-  Count(Self().mName, sequence, aShards, units, now);
+  Count(Self().mName, request, units, now);
 }
 
 void
@@ -271,9 +317,7 @@
                      shard_mask aShards,
                      yield_context aYield)
 {
-  const cede_message request{
-    cede_kind::Request, Self().mBoot, ++mSequence, aShards
-  };
+  const auto request = NextRequest(aShards);
   const auto sent = mScheduler.Now();
   const auto payload = mChannel->Call(
     aName, kCedeService, Encode(request), kAnswerTimeout, aYield);
@@ -283,34 +327,33 @@
   mTable.NoteAnswer(sent);
   const auto reply = DecodeCedeReply(*payload);
   if (reply) {
-    Count(aName, request.mSequence, aShards, reply->mUnits, sent);
+    Count(aName, request, reply->mUnits, sent);
   }
 }
 
 /// Counts the fractions that a member ceded in answer to a request.
 void
 shard_owner::Count(const instance_name& aName,
-                   std::uint64_t aSequence,
-                   shard_mask aShards,
+                   const cede_message& aRequest,
                    const std::vector<unsigned>& aUnits,
                    steady_time aSent)
 {
   const auto now = mScheduler.Now();
   auto& applied = mAppliedSequence[aName];
-  if (aSequence <= applied || now >= LastGrant(aSent)) {
+  if (aRequest.mSequence <= applied) {
     return;
   }
-  applied = aSequence;
+  applied = aRequest.mSequence;
   std::size_t next = 0;
   for (shard_index index = 0; index < kShardCount; ++index) {
-    if ((aShards & Bit(index)) == 0 || next >= aUnits.size()) {
+    if ((aRequest.mShards & Bit(index)) == 0 || next >= aUnits.size()) {
       continue;
     }
     const auto units = aUnits[next++];
+    const auto until = LastGrant(aSent, aRequest.Validity(index));
     // Without units an earlier cession still lasts until its end.
-    if (units > 0 && mShards[index].mIsOwned) {
-      mShards[index].mPool.SetFraction(
-        aName, units, LastGrant(aSent), now, now);
+    if (units > 0 && mShards[index].mIsOwned && now < until) {
+      mShards[index].mPool.SetFraction(aName, units, until, now, now);
     }
   }
 }
@@ -325,6 +368,17 @@
   return shards;
 }
 
+shard_mask
+shard_owner::ShardsInUse() const
+{
+  shard_mask shards = 0;
+  for (shard_index index = 0; index < kShardCount; ++index) {
+    const auto& shard = mShards[index];
+    shards |= shard.mIsOwned && shard.mPool.BucketCount() > 0 ? Bit(index) : 0;
+  }
+  return shards;
+}
+
 /// Live members that hold units as far as this instance knows.
 std::vector<instance_name>
 shard_owner::MembersToAsk() const
--- a/modules/limits/shard_owner.h
+++ b/modules/limits/shard_owner.h
@@ -37,7 +37,7 @@
                             const token_request& aRequest);
 
   /// The sender has units to cede.
-  void HandleNotice(const instance_name& aFrom);
+  void HandleNotice(const instance_name& aFrom, shard_mask aShards);
 
   /// Takes a token for immediate use by this instance.
   bool Take(std::string_view aOrganisation, const rate_limits& aLimits);
@@ -54,24 +54,28 @@
     bool mIsOwned = false;
     /// Until when the granted tokens may be in use, after ownership ended.
     bool mIsReleasing = false;
+    steady_time mInvitedUntil{ duration(0) };
     token_pool mPool;
   };
 
+  void SleepUntilNextRound(steady_time aEnd, yield_context aYield);
   void UpdateOwnership();
   void StartOwning(shard_index aShard);
   void StopOwning(shard_index aShard);
   void ReleaseDrained();
-  void AskAll();
+  void AskAll(shard_mask aShards);
+  cede_message NextRequest(shard_mask aShards);
   void AskSelf(shard_mask aShards);
   void AskPeer(const instance_name& aName,
                shard_mask aShards,
                yield_context aYield);
   void Count(const instance_name& aName,
-             std::uint64_t aSequence,
-             shard_mask aShards,
+             const cede_message& aRequest,
              const std::vector<unsigned>& aUnits,
              steady_time aSent);
   shard_mask OwnedShards() const;
+  shard_mask ShardsInUse() const;
+  void DropIdle();
   std::vector<instance_name> MembersToAsk() const;
   token_reply_item Answer(const instance_name& aFrom,
                           const token_request_item& aItem);
@@ -86,6 +90,8 @@
   event mWake;
   bool mIsLeaving = false;
   std::uint64_t mSequence = 0;
+  shard_mask mAskedShards = 0;
+  shard_mask mShardsLastInUse = 0;
   std::array<owned_shard, kShardCount> mShards;
   std::map<instance_name, std::uint64_t> mAppliedSequence;
   std::set<instance_name> mNoticed;
--- a/modules/limits/token_client.cpp
+++ b/modules/limits/token_client.cpp
@@ -2,6 +2,7 @@
 
 #include "core/check.h"
 #include "modules/limits/limit_constants.h"
+#include "modules/limits/next_owner.h"
 
 #include <algorithm>
 #include <cmath>
@@ -16,6 +17,7 @@
 /// Reports wait so long for a request that carries them.
 constexpr duration kReportDelay = std::chrono::milliseconds(20);
 constexpr duration kNoAuthorityPause = std::chrono::milliseconds(20);
+constexpr duration kFailurePause = std::chrono::milliseconds(5);
 constexpr duration kOwnerCacheTime = std::chrono::milliseconds(100);
 /// Tokens are asked ahead for about one round trip and 100 ms of recent use.
 constexpr double kAskAheadSeconds = 0.105;
@@ -63,7 +65,7 @@
     return {};
   }
   const bool hasAuthority =
-    mHolder.Units() > 0 || !LinkFor(aOrganisation).IsFailing();
+    mHolder.Units() > 0 || !LinkFor(aOrganisation).IsAvoided(now);
   return Fail(hasAuthority ? errc::RateLimited : errc::NotReady);
 }
 
@@ -230,7 +232,9 @@
 owner_link&
 token_client::LinkFor(const std::string& aOrganisation)
 {
-  return LinkTo(OwnerOf(ShardOf(aOrganisation)));
+  const auto shard = ShardOf(aOrganisation);
+  auto& link = LinkTo(OwnerOf(shard));
+  return link.IsAvoided(mScheduler.Now()) ? LinkTo(NextOwnerOf(shard)) : link;
 }
 
 const instance_name&
@@ -239,11 +243,23 @@
   auto& cached = mOwners[aShard];
   const auto now = mScheduler.Now();
   if (cached.mUntil <= now) {
-    cached = { mMembership->OwnerOf(aShard), now + kOwnerCacheTime };
+    cached = { mMembership->OwnerOf(aShard), {}, now + kOwnerCacheTime, {} };
   }
   return cached.mName;
 }
 
+const instance_name&
+token_client::NextOwnerOf(shard_index aShard)
+{
+  auto& cached = mOwners[aShard];
+  const auto now = mScheduler.Now();
+  if (cached.mNextUntil <= now) {
+    cached.mNextName = NextOwner(*mMembership, aShard, cached.mName);
+    cached.mNextUntil = now + kOwnerCacheTime;
+  }
+  return cached.mNextName;
+}
+
 void
 token_client::Ask(const std::string& aOrganisation)
 {
@@ -359,10 +375,10 @@
     Apply(aLink, request, *reply, sent);
     return;
   }
-  const auto pause = aLink.NoteFailure();
-  if (pause > duration(0)) {
-    mScheduler.SleepFor(pause, aYield);
-  }
+  aLink.NoteFailure(mScheduler.Now());
+  // An unreachable owner fails at once; without a pause the waiting requests
+  // would be asked for in a busy loop.
+  mScheduler.SleepFor(kFailurePause, aYield);
   AskAgain(request);
 }
 
--- a/modules/limits/token_client.h
+++ b/modules/limits/token_client.h
@@ -92,6 +92,7 @@
   owner_link& LinkTo(const instance_name& aOwner);
   owner_link& LinkFor(const std::string& aOrganisation);
   const instance_name& OwnerOf(shard_index aShard);
+  const instance_name& NextOwnerOf(shard_index aShard);
   void Ask(const std::string& aOrganisation);
   void PlanRetry(const std::string& aOrganisation, use& aUse);
   void StartWork(owner_link& aLink);
@@ -122,7 +123,9 @@
   struct cached_owner
   {
     instance_name mName;
+    instance_name mNextName;
     steady_time mUntil{ duration(0) };
+    steady_time mNextUntil{ duration(0) };
   };
   std::array<cached_owner, kShardCount> mOwners;
 };
