--- /dev/null
+++ b/tests/limits/test_refusals.cpp
@@ -0,0 +1,94 @@
+#include "tests/limits/organisation_traffic.h"
+#include "tests/story.h"
+
+using namespace cowslipline;
+using namespace cowslipline::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t kInstances = 40;
+
+/// Small organisations with bursts of 2 to 5, and a few large ones.
+std::vector<organisation>
+Organisations()
+{
+  std::vector<organisation> all;
+  for (int i = 0; i < 40; ++i) {
+    all.push_back({ "small-" + std::to_string(i), 1.0 + i % 4, 2.0 + i % 4 });
+  }
+  for (int i = 0; i < 8; ++i) {
+    const double rate = 30 + 10 * (i % 3);
+    all.push_back({ "large-" + std::to_string(i), rate, rate });
+  }
+  return all;
+}
+
+} // namespace
+
+TEST_GROUP(refusals){};
+
+// Guards against in-rate requests refused without faults (target: at most 1 in
+// 1,000) and through the failure of owners (target: at most 1 in 100 of the
+// fleet's in-rate requests in the 10 s after it).
+TEST(refusals, InRateRequestsOfWanderingOrganisations)
+{
+  limiter_fleet fleet(11);
+  organisation_traffic traffic(fleet, 11);
+  fleet.mSnapshots->Set(Organisations());
+  for (const auto& one : Organisations()) {
+    traffic.Add(one, 0.7, true);
+  }
+  fleet.StartMany(kInstances);
+  fleet.Advance(12s);
+  traffic.Run(2s);
+  SECTION("calm")
+  {
+    traffic.Reset();
+    traffic.Run(12s);
+    const auto calm = traffic.Total();
+    CHECK(calm.mSent > 3000);
+    CHECK(calm.mRefused * 1000 <= calm.mSent);
+  }
+  SECTION("three owners fail one after the other")
+  {
+    traffic.Reset();
+    for (const auto* name : { "small-0", "small-1", "large-2" }) {
+      const auto& view = fleet.mProcesses.rbegin()->second->mMembership;
+      fleet.Crash(view->OwnerOf(ShardOf(name)));
+      traffic.Run(10s);
+    }
+    const auto failing = traffic.Total();
+    CHECK(failing.mRefused * 100 <= failing.mSent);
+  }
+  CHECK(!traffic.IsBoundBroken());
+}
+
+// Guards against an organisation that gets less than its rate because it sends
+// too much (target: at least 95% of its rate at 5 times the rate).
+TEST(refusals, OverloadedOrganisationsGetTheirRate)
+{
+  const std::vector<organisation> all{ { "small", 2, 3 },
+                                       { "middle", 5, 10 },
+                                       { "large", 50, 50 } };
+  limiter_fleet fleet(12);
+  organisation_traffic traffic(fleet, 12);
+  fleet.mSnapshots->Set(all);
+  for (const auto& one : all) {
+    traffic.Add(one, 5, false);
+  }
+  fleet.StartMany(kInstances);
+  fleet.Advance(12s);
+  traffic.Run(3s);
+  traffic.Reset();
+  traffic.Run(20s);
+  for (const auto& one : all) {
+    SECTION(one.mName)
+    {
+      const auto counts = traffic.Of(one.mName);
+      const auto admitted = static_cast<double>(counts.mSent - counts.mRefused);
+      CHECK(admitted >= 0.95 * one.mRate * 20);
+    }
+  }
+  CHECK(!traffic.IsBoundBroken());
+}
