End all tasks before a test fleet is destroyed

AddressSanitizer reports a false error when a suspended task is unwound (github.com/google/sanitizers/issues/189).

--- a/modules/outcomes/record_shard.cpp
+++ b/modules/outcomes/record_shard.cpp
@@ -239,9 +239,10 @@
 bool
 record_shard::IsRefreshDue() const
 {
-  return std::any_of(mClaims.begin(), mClaims.end(), [this](const auto& claim) {
-    return IsOutdatedFor(*claim);
-  });
+  return std::any_of(
+    mClaims.begin(), mClaims.end(), [this](const auto& aClaim) {
+      return IsOutdatedFor(*aClaim);
+    });
 }
 
 bool
--- a/tests/outcomes/outcome_fleet.cpp
+++ b/tests/outcomes/outcome_fleet.cpp
@@ -97,6 +97,28 @@
   }
 }
 
+outcome_fleet::~outcome_fleet()
+{
+  mContent->mFaults = {};
+  for (auto& instance : mCrashed) {
+    EndTasks(instance);
+  }
+  for (auto& instance : mInstances) {
+    EndTasks(instance);
+  }
+  mClock.Advance(std::chrono::seconds(30));
+}
+
+void
+outcome_fleet::EndTasks(test_instance& aInstance)
+{
+  // As the only member it delivers its reports to itself.
+  const auto& self = aInstance.mMembership->Self();
+  aInstance.mMembership->SetLive({ self });
+  aInstance.mClient->SetCutOff(false);
+  mNetwork.SetPaused(self.mName, false);
+}
+
 std::string
 outcome_fleet::NameOf(std::size_t aIndex)
 {
@@ -155,6 +177,7 @@
 outcome_fleet::Restart(std::size_t aIndex)
 {
   ++mBoots.at(aIndex);
+  mCrashed.push_back(At(aIndex));
   Build(aIndex);
 }
 
@@ -163,6 +186,7 @@
                        const std::vector<std::size_t>& aLive)
 {
   std::vector<member> live;
+  live.reserve(aLive.size());
   for (const auto index : aLive) {
     live.push_back(MemberOf(index));
   }
--- a/tests/outcomes/outcome_fleet.h
+++ b/tests/outcomes/outcome_fleet.h
@@ -100,6 +100,11 @@
   outcome_fleet(std::size_t aCount,
                 std::uint64_t aSeed,
                 const outcome_settings& aSettings = {});
+  outcome_fleet(const outcome_fleet&) = delete;
+  outcome_fleet& operator=(const outcome_fleet&) = delete;
+  /// Lets every task end: AddressSanitizer reports a false error when a
+  /// suspended task is unwound (github.com/google/sanitizers/issues/189).
+  ~outcome_fleet();
 
   test_instance& At(std::size_t aIndex) { return mInstances.at(aIndex); }
   std::size_t Size() const { return mInstances.size(); }
@@ -135,11 +140,13 @@
 private:
   member MemberOf(std::size_t aIndex) const;
   void Build(std::size_t aIndex);
+  void EndTasks(test_instance& aInstance);
 
   outcome_settings mSettings;
   std::uint64_t mSeed;
   std::vector<std::uint64_t> mBoots;
   std::vector<test_instance> mInstances;
+  std::vector<test_instance> mCrashed;
 };
 
 } // namespace cowslipline::testing
--- a/tests/outcomes/test_outcomes.cpp
+++ b/tests/outcomes/test_outcomes.cpp
@@ -231,7 +231,7 @@
   }
   fleet.mClock.Advance(3s);
   // At least two sealed segments for each head on average.
-  CHECK(fleet.mContent->mValues.size() >= 3 * kShardCount);
+  CHECK(fleet.mContent->mValues.size() >= std::size_t{ 3 } * kShardCount);
   fleet.SetAllViews({ 1 });
   for (int number = 0; number < 600; ++number) {
     const auto key = "order" + std::to_string(number);
--- a/tests/outcomes/test_outcomes_random.cpp
+++ b/tests/outcomes/test_outcomes_random.cpp
@@ -31,11 +31,11 @@
 {
 public:
   explicit random_run(std::uint64_t aSeed)
-    : mFleet(kInstances, aSeed)
-    , mRandom(aSeed)
+    : mRandom(aSeed)
     , mAlive(kInstances, true)
     , mPaused(kInstances, false)
     , mProcesses(kInstances, 0)
+    , mFleet(kInstances, aSeed)
   {
   }
 
@@ -272,13 +272,14 @@
     }
   }
 
-  outcome_fleet mFleet;
   random_source mRandom;
   std::map<std::string, key_history> mKeys;
   std::vector<bool> mAlive;
   std::vector<bool> mPaused;
   std::vector<int> mProcesses;
   bool mIsHealed = false;
+  /// Destroyed first, since its last tasks use what is above.
+  outcome_fleet mFleet;
 };
 
 } // namespace
