Limits: a shard stays in use for 10 s, and retry hints are bounded

Cause: a large organisation within its rate often had a full bucket, which was dropped; its shard then counted as idle and was ceded for 4 s, so that the crash of its owner left it without tokens for 3.3 s. Retry hints of a new owner with few fractions could also be very long. Change: in use means a token was asked for within 10 s. Hints count with the whole rate and are at most 0.25 s.

--- a/modules/limits/limit_constants.h
+++ b/modules/limits/limit_constants.h
@@ -19,6 +19,11 @@
 constexpr duration kCessionValidityInUse = std::chrono::milliseconds(800);
 constexpr duration kCessionPeriodInUse = std::chrono::milliseconds(250);
 
+/// A shard counts as in use for so long after the last token was asked for.
+/// Longer than the pauses of small organisations, whose cessions would
+/// otherwise be long when the owner fails.
+constexpr duration kInUseTime = std::chrono::seconds(10);
+
 /// An instance to which a member turned after the owner failed acts as owner
 /// for so long, until membership names the next owner.
 constexpr duration kInvitationTime = std::chrono::seconds(10);
--- a/modules/limits/rate_limiter.cpp
+++ b/modules/limits/rate_limiter.cpp
@@ -50,16 +50,23 @@
 rate_limiter::Start()
 {
   const auto self = shared_from_this();
-  mServices.mChannel->Handle(
-    kCedeService,
-    [self](const instance_name& aFrom,
-           std::string_view aPayload,
-           yield_context) { return self->HandleCede(aFrom, aPayload); });
-  mServices.mChannel->Handle(
-    kTokenService,
-    [self](const instance_name& aFrom,
-           std::string_view aPayload,
-           yield_context) { return self->HandleTokens(aFrom, aPayload); });
+  // The channel must not keep the limiter alive, which holds the channel.
+  const std::weak_ptr<rate_limiter> weak = self;
+  using method = result<std::string> (rate_limiter::*)(const instance_name&,
+                                                       std::string_view);
+  const auto handle = [&](const char* aService, method aMethod) {
+    mServices.mChannel->Handle(
+      aService,
+      [weak, aMethod](const instance_name& aFrom,
+                      std::string_view aPayload,
+                      yield_context) -> result<std::string> {
+        const auto limiter = weak.lock();
+        return limiter ? ((*limiter).*aMethod)(aFrom, aPayload)
+                       : Fail(errc::NotReady);
+      });
+  };
+  handle(kCedeService, &rate_limiter::HandleCede);
+  handle(kTokenService, &rate_limiter::HandleTokens);
   mScheduler.Spawn([self](yield_context aYield) { self->mTable.Run(aYield); });
   mScheduler.Spawn([self](yield_context aYield) { self->mOwner.Run(aYield); });
   mScheduler.Spawn([self](yield_context aYield) { self->Maintain(aYield); });
--- a/modules/limits/shard_owner.cpp
+++ b/modules/limits/shard_owner.cpp
@@ -128,6 +128,7 @@
       mMembership->OwnerOf(index) == Self().mName) {
     mWake.Set();
   }
+  shard.mInUseUntil = now + kInUseTime;
   if (!shard.mIsOwned || shard.mPool.Units(now) == 0) {
     return {};
   }
@@ -168,6 +169,7 @@
 shard_owner::Take(std::string_view aOrganisation, const rate_limits& aLimits)
 {
   auto& shard = mShards[ShardOf(aOrganisation)];
+  shard.mInUseUntil = mScheduler.Now() + kInUseTime;
   return shard.mIsOwned &&
          shard.mPool.Take(aOrganisation, aLimits, 1, mScheduler.Now()) > 0;
 }
@@ -374,7 +376,8 @@
   shard_mask shards = 0;
   for (shard_index index = 0; index < kShardCount; ++index) {
     const auto& shard = mShards[index];
-    shards |= shard.mIsOwned && shard.mPool.BucketCount() > 0 ? Bit(index) : 0;
+    const bool isInUse = shard.mIsOwned && mScheduler.Now() < shard.mInUseUntil;
+    shards |= isInUse ? Bit(index) : 0;
   }
   return shards;
 }
--- a/modules/limits/shard_owner.h
+++ b/modules/limits/shard_owner.h
@@ -55,6 +55,7 @@
     /// Until when the granted tokens may be in use, after ownership ended.
     bool mIsReleasing = false;
     steady_time mInvitedUntil{ duration(0) };
+    steady_time mInUseUntil{ duration(0) };
     token_pool mPool;
   };
 
--- a/modules/limits/token_pool.cpp
+++ b/modules/limits/token_pool.cpp
@@ -138,15 +138,14 @@
                         const rate_limits& aLimits,
                         steady_time aNow)
 {
-  constexpr duration kUnknown = std::chrono::seconds(1);
+  // Counted with the whole rate and bounded: a new owner has few fractions at
+  // first, and holders that were told to wait long would stay away from it.
+  constexpr double kLongestSeconds = 0.25;
   Expire(aNow);
-  const auto rate = aLimits.mRate * Fraction();
-  if (rate <= 0) {
-    return kUnknown;
-  }
+  const auto rate = std::max(aLimits.mRate, kTokenEpsilon);
   const auto missing =
     1.0 - Touch(aOrganisation, aLimits, aNow).mBucket.Level();
-  const auto seconds = std::min(std::max(missing, 0.0) / rate, 60.0);
+  const auto seconds = std::min(std::max(missing, 0.0) / rate, kLongestSeconds);
   return duration(static_cast<duration::rep>(seconds * 1e6) + 1);
 }
 
