Limits: move units quickly when instances join

Cause: in a real fleet of three, the first instance took all 240 units, gave 160 back 10 s later, and the others took them up to 10 s after that. Meanwhile a third of every rate was held, and in-rate requests were refused.

Change: a change in the number of live members leads to a refresh within a time that grows with the fleet, and an instance that holds less than an even share reads the table every second (50 ms more for each member).

--- a/modules/limits/allotment_table.cpp
+++ b/modules/limits/allotment_table.cpp
@@ -16,6 +16,10 @@
 constexpr duration kReadInterval = std::chrono::seconds(10);
 /// Reads of the table by the whole fleet stay below 4/s as it grows.
 constexpr duration kReadIntervalPerMember = std::chrono::milliseconds(250);
+/// For an instance that holds less than an even share.
+constexpr duration kShortInterval = std::chrono::seconds(1);
+constexpr duration kShortIntervalPerMember = std::chrono::milliseconds(50);
+constexpr duration kChangePausePerMember = std::chrono::milliseconds(20);
 /// A holder must see a mark on its entry before the units are reclaimed.
 constexpr duration kLongestHolderInterval = std::chrono::seconds(20);
 constexpr duration kHeardRecently = std::chrono::seconds(10);
@@ -49,6 +53,10 @@
       const auto left = std::min(end - mScheduler.Now(), kTick);
       isWoken = mWake.Wait(mScheduler, left, aYield);
       CheckIsolation();
+      if (!isWoken && LiveNames().size() != mLiveCount) {
+        mScheduler.SleepFor(PauseAfterMembershipChange(), aYield);
+        break;
+      }
     }
   }
 }
@@ -116,6 +124,7 @@
 allotment_table::Refresh(yield_context aYield)
 {
   mIsBusy = true;
+  mLiveCount = LiveNames().size();
   auto outcome = Read(aYield);
   if (outcome && !mIsLeaving) {
     outcome = Adjust(aYield);
@@ -340,17 +349,31 @@
   return !aOutcome || NeedsConfirmation() ? kRetryInterval : Interval();
 }
 
+/// Spread, since the whole fleet sees the change at about the same time.
+duration
+allotment_table::PauseAfterMembershipChange()
+{
+  const auto members = mMembership->LiveMembers().size() + 1;
+  return kChangePausePerMember * static_cast<int>(mRandom.Below(members));
+}
+
 duration
 allotment_table::Interval()
 {
   const auto members = mMembership->LiveMembers().size();
   auto interval =
     std::max(kReadInterval, static_cast<int>(members) * kReadIntervalPerMember);
+  const auto share = kAllotmentUnits / std::max<std::size_t>(1, mLiveCount);
+  if (mTable.Held(Self()) < share) {
+    // Units that another instance gives back serve nobody until they are taken.
+    interval = std::max(kShortInterval,
+                        static_cast<int>(members) * kShortIntervalPerMember);
+  }
   if (mTable.Held(Self()) > 0) {
     interval = std::min(interval, kLongestHolderInterval);
   }
-  const auto share = 0.8 + 0.4 * mRandom.Unit();
-  return std::chrono::duration_cast<duration>(interval * share);
+  const auto spread = 0.8 + 0.4 * mRandom.Unit();
+  return std::chrono::duration_cast<duration>(interval * spread);
 }
 
 std::vector<instance_name>
--- a/modules/limits/allotment_table.h
+++ b/modules/limits/allotment_table.h
@@ -78,6 +78,7 @@
   void Observe();
   void Use(unsigned aUnits);
   duration PauseAfter(const result<void>& aOutcome);
+  duration PauseAfterMembershipChange();
   duration Interval();
   const instance_name& Self() const { return mMembership->Self().mName; }
   std::vector<instance_name> LiveNames() const;
@@ -109,6 +110,8 @@
   /// From then on no owner counts units that were taken out of use.
   steady_time mUnusedSince{ duration(0) };
   std::map<instance_name, observation> mObservations;
+  /// Live members at the last refresh.
+  std::size_t mLiveCount = 0;
 };
 
 } // namespace cowslipline
