Bound the graceful stop for connections that wait for a thread

Cause: a connection that got its thread after the grace had passed was not broken, so that the stop could wait for as long as its caller sent nothing. Kept-alive probes could hold all threads of the admin server, and HEAD answers lost their own Accept-Ranges.

Change: the stop waits for the end of the listener and breaks what is left until then; the admin server closes each connection after its answer.

--- a/modules/gateway/admin_server.cpp
+++ b/modules/gateway/admin_server.cpp
@@ -32,6 +32,8 @@
   , mCallbacks(std::move(aCallbacks))
 {
   mServer.new_task_queue = [] { return new httplib::ThreadPool(kThreads); };
+  // Kept-alive connections of a few probes would hold all threads.
+  mServer.set_keep_alive_max_count(1);
   AddHandlers();
 }
 
--- a/modules/gateway/caller_server.cpp
+++ b/modules/gateway/caller_server.cpp
@@ -30,6 +30,9 @@
 /// thread, so that each must be short.
 constexpr duration kRefusedLingerTimeout = std::chrono::milliseconds(20);
 
+/// Time between attempts to break what is left after a graceful stop.
+constexpr std::chrono::milliseconds kBreakInterval{ 20 };
+
 /// Longest wait for the library to accept what the system holds.
 constexpr duration kAcceptTimeout = std::chrono::milliseconds(100);
 
@@ -64,7 +67,9 @@
   buffered_reader mReader;
   caller_answer mAnswer;
   bool mIsClosing = false;
+  // Whether the answer itself has these, which the library adds otherwise.
   bool mHasContentType = false;
+  bool mHasAcceptRanges = false;
 };
 
 namespace {
@@ -130,7 +135,12 @@
 void
 caller_server::Start()
 {
-  mListener = std::thread([this] { listen_after_bind(); });
+  std::promise<void> ended;
+  mEnded = ended.get_future();
+  mListener = std::thread([this, ended = std::move(ended)]() mutable {
+    listen_after_bind(); // Returns when all connections have ended.
+    ended.set_value();
+  });
   while (!is_running()) {
     std::this_thread::yield();
   }
@@ -145,12 +155,13 @@
   WaitForAcceptance();
   mConnections.StopIdle();
   stop();
-  const bool isEmpty = mConnections.WaitUntilEmpty(aTimeout);
-  if (!isEmpty) {
+  const bool isWhole = mEnded.wait_for(aTimeout) == std::future_status::ready;
+  // Connections that waited for a thread may be served only now.
+  while (mEnded.wait_for(kBreakInterval) != std::future_status::ready) {
     mConnections.BreakAll();
   }
   mListener.join();
-  return isEmpty;
+  return isWhole;
 }
 
 void
@@ -283,6 +294,7 @@
   auto& served = *static_cast<connection*>(tConnection);
   auto& answer = served.mAnswer;
   served.mHasContentType = answer.mHeaders.Count("Content-Type") > 0;
+  served.mHasAcceptRanges = answer.mHeaders.Count("Accept-Ranges") > 0;
   aResponse.status = answer.mStatus;
   for (auto& line : answer.mHeaders.Lines()) {
     aResponse.headers.emplace(std::move(line.mName), std::move(line.mValue));
@@ -301,12 +313,14 @@
   if (!served.mHasContentType) {
     headers.erase("Content-Type");
   }
+  if (!served.mHasAcceptRanges) {
+    headers.erase("Accept-Ranges");
+  }
   if (served.mIsClosing) {
     headers.emplace("Connection", "close");
   }
   if (aIsHead && aResponse.body.empty()) {
     headers.erase("Content-Length");
-    headers.erase("Accept-Ranges");
     if (served.mAnswer.mHeadLength) {
       headers.emplace("Content-Length",
                       std::to_string(*served.mAnswer.mHeadLength));
--- a/modules/gateway/caller_server.h
+++ b/modules/gateway/caller_server.h
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <functional>
+#include <future>
 #include <thread>
 
 #include <httplib.h>
@@ -80,6 +81,7 @@
   connection_registry mConnections;
   std::atomic<bounded_task_queue*> mQueue{ nullptr };
   std::thread mListener;
+  std::future<void> mEnded;
   std::uint16_t mPort = 0;
 };
 
--- a/modules/gateway/connection_registry.cpp
+++ b/modules/gateway/connection_registry.cpp
@@ -38,7 +38,6 @@
     ::close(found->second.mWake);
     mEntries.erase(found);
   }
-  mChanged.notify_all();
 }
 
 bool
@@ -131,13 +130,6 @@
   }
 }
 
-bool
-connection_registry::WaitUntilEmpty(duration aTimeout)
-{
-  std::unique_lock lock(mMutex);
-  return mChanged.wait_for(lock, aTimeout, [this] { return mEntries.empty(); });
-}
-
 std::size_t
 connection_registry::Count() const
 {
--- a/modules/gateway/connection_registry.h
+++ b/modules/gateway/connection_registry.h
@@ -2,7 +2,6 @@
 
 #include "core/time.h"
 
-#include <condition_variable>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -36,8 +35,6 @@
   /// Breaks all connections.
   void BreakAll();
 
-  /// Waits until no connection is open. False when the time has passed.
-  bool WaitUntilEmpty(duration aTimeout);
   std::size_t Count() const;
 
 private:
@@ -54,7 +51,6 @@
   void MarkBusy(int aDescriptor);
 
   mutable std::mutex mMutex;
-  std::condition_variable mChanged;
   std::map<int, entry> mEntries;
   std::uint64_t mNextOrder = 0;
   bool mIsStopping = false;
--- a/tests/gateway/test_caller_server.cpp
+++ b/tests/gateway/test_caller_server.cpp
@@ -299,6 +299,26 @@
   CHECK(isWhole);
 }
 
+// Guards against a stop that never ends because an upstream or a caller hangs.
+TEST(caller_server, BreaksWhatIsLeftAfterTheGrace)
+{
+  std::atomic<bool> isHeld{ true };
+  scripted_upstream upstream([&](const http_message&, test_socket&) {
+    WaitUntil([&] { return !isHeld; });
+    return false;
+  });
+  gateway_options options;
+  options.mCallers.mThreads = 1;
+  gateway_fixture fixture({ upstream.Port() }, options);
+  auto busy = fixture.Connect();
+  busy.Send(gateway_fixture::Request("GET", "/echo"));
+  CHECK(WaitUntil([&] { return upstream.Seen().size() == 1; }));
+  auto queued = fixture.Connect();
+  queued.Send("GET /echo HTTP/1.1\r\n");
+  CHECK(!fixture.mGateway->StopGracefully(std::chrono::milliseconds(50)));
+  isHeld = false;
+}
+
 // Guards against a hidden path to a guarded route: the gateway and an upstream
 // must read a path alike (P2).
 TEST(caller_server, RefusesDoubtfulPaths)
--- a/tests/gateway/test_pipeline.cpp
+++ b/tests/gateway/test_pipeline.cpp
@@ -114,7 +114,8 @@
     aSocket.Send(scripted_upstream::Answer(
       "x",
       "Connection: X-Hop\r\nX-Hop: 1\r\nKeep-Alive: timeout=1\r\n"
-      "Cowslipline-Ran: not_run\r\nX-Kept: 1\r\nSet-Cookie: a\r\n"
+      "Cowslipline-Ran: not_run\r\nX-Kept: 1\r\nAccept-Ranges: "
+      "bytes\r\nSet-Cookie: a\r\n"
       "Set-Cookie: b\r\n"));
     return true;
   });
@@ -134,6 +135,7 @@
     const auto head = fixture.Call("HEAD", "/echo");
     LONGS_EQUAL(200, head.Status());
     STRCMP_EQUAL("1", head.Header("Content-Length").c_str());
+    STRCMP_EQUAL("bytes", head.Header("Accept-Ranges").c_str());
   }
 }
 
