Read answers that come before the whole request is sent

Cause: an upstream that shed a large request without reading it left the gateway writing until the deadline, and the attempt counted as a timeout with an unknown run.

Change: a write to an upstream that cannot go on ends when there is input.

Conclusion: such an order is known not to have run and goes to another target.

--- a/modules/gateway/timed_socket.cpp
+++ b/modules/gateway/timed_socket.cpp
@@ -115,10 +115,14 @@
     if (count < 0 && !IsTransient(errno)) {
       return { io_status::Reset, done };
     }
-    const auto status = WaitFor(POLLOUT);
+    const auto status =
+      WaitFor(mEndsWritesOnInput ? POLLOUT | POLLIN : POLLOUT);
     if (status != io_status::Done) {
       return { status, done };
     }
+    if (mEndsWritesOnInput && IsReadable()) {
+      return { io_status::Answered, done };
+    }
   }
   return { io_status::Done, done };
 }
--- a/modules/gateway/timed_socket.h
+++ b/modules/gateway/timed_socket.h
@@ -15,6 +15,7 @@
   Reset,    ///< The connection broke.
   TimedOut, ///< The deadline passed.
   Canceled, ///< The watched socket was closed by its other side.
+  Answered, ///< Input came while a write could not go on.
 };
 
 struct io_result
@@ -39,6 +40,10 @@
   /// for none.
   void Watch(int aDescriptor) { mWatched = aDescriptor; }
 
+  /// Ends a write that cannot go on when there is input: an upstream may
+  /// answer without reading the whole request.
+  void EndWritesOnInput() { mEndsWritesOnInput = true; }
+
   /// Reads at least one byte.
   io_result Read(char* aData, std::size_t aSize);
   /// Writes all bytes. mBytes says how many were taken by the system.
@@ -52,6 +57,7 @@
 
   int mDescriptor;
   int mWatched = -1;
+  bool mEndsWritesOnInput = false;
   steady_time mDeadline = steady_time::max();
 };
 
--- a/modules/gateway/upstream_connection.cpp
+++ b/modules/gateway/upstream_connection.cpp
@@ -156,6 +156,7 @@
   }
   socket.SetDeadline(mRequest->mDeadline);
   socket.Watch(mRequest->mCallerDescriptor);
+  socket.EndWritesOnInput();
   upstream_stream stream(socket, mResult->mAnswer, mRequest->mMethod == "HEAD");
   const bool isWhole = aCallback(stream);
   mResult->mHasSent = stream.HasSent();
--- a/tests/gateway/loopback.cpp
+++ b/tests/gateway/loopback.cpp
@@ -177,10 +177,11 @@
   ::setsockopt(mDescriptor, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
 }
 
-scripted_upstream::scripted_upstream(script aScript)
+scripted_upstream::scripted_upstream(script aScript, bool aReadsBodies)
   : mListener(BindAnyPort())
   , mPort(PortOf(mListener))
   , mScript(std::move(aScript))
+  , mReadsBodies(aReadsBodies)
 {
   ::listen(mListener, 64);
   mAcceptor = std::thread([this] { Accept(); });
@@ -223,7 +224,7 @@
   test_socket socket(aDescriptor);
   bool isOpen = true;
   while (isOpen) {
-    const auto request = socket.Receive();
+    const auto request = socket.Receive(mReadsBodies);
     if (request.mHead.empty()) {
       break;
     }
--- a/tests/gateway/loopback.h
+++ b/tests/gateway/loopback.h
@@ -58,7 +58,8 @@
   /// Called on the connection's thread; false closes the connection.
   using script = std::function<bool(const http_message&, test_socket&)>;
 
-  explicit scripted_upstream(script aScript = Echo);
+  /// Without aReadsBodies the script runs after the head.
+  explicit scripted_upstream(script aScript = Echo, bool aReadsBodies = true);
   ~scripted_upstream();
 
   /// Answers with the request's body.
@@ -82,6 +83,7 @@
   std::uint16_t mPort = 0;
   mutable std::mutex mMutex;
   script mScript;
+  const bool mReadsBodies;
   std::vector<http_message> mSeen;
   std::vector<int> mOpen;
   std::vector<std::thread> mThreads;
--- a/tests/gateway/test_exchange.cpp
+++ b/tests/gateway/test_exchange.cpp
@@ -366,6 +366,30 @@
   LONGS_EQUAL(4, upstream.Connections());
 }
 
+// Guards against waiting for the deadline when an upstream refuses a large
+// request without reading it.
+TEST(connections, CarryAnswersThatComeBeforeTheWholeRequest)
+{
+  std::atomic<bool> isDone{ false };
+  scripted_upstream shedding(
+    [&](const http_message&, test_socket& aSocket) {
+      aSocket.Send(scripted_upstream::Answer(
+        "", "Cowslipline-Shed: not-run\r\n", "503 Busy"));
+      WaitUntil([&] { return isDone.load(); });
+      return false;
+    },
+    false);
+  scripted_upstream healthy;
+  gateway_fixture fixture(
+    { shedding.Port(), healthy.Port() }, {}, std::chrono::seconds(30));
+  const std::string body(std::size_t(24) << 20, 'a');
+  const auto answer = fixture.Call("POST", "/order", body, kIdempotencyKey);
+  CHECK(answer.mBody == body);
+  CHECK(fixture.mDecisions.Reports() ==
+        (std::vector{ attempt_class::Shed, attempt_class::Success }));
+  isDone = true;
+}
+
 // Guards against an order on a connection that its upstream is closing, which
 // leaves the outcome unknown.
 TEST(connections, AreNewForOrders)
