--- a/standins/demo_driver/traffic.cpp
+++ b/standins/demo_driver/traffic.cpp
@@ -96,6 +96,7 @@
       mClients.push_back(
         std::make_unique<httplib::Client>("127.0.0.1", instance.mCallersPort));
       mClients.back()->set_keep_alive(true);
+      mClients.back()->set_tcp_nodelay(true);
       mClients.back()->set_read_timeout(kClientTimeoutSeconds);
     }
   }
@@ -230,6 +231,8 @@
 {
   const std::lock_guard<std::mutex> lock(mMutex);
   ++mRefusals[aReason];
+  const auto second = static_cast<int>(SecondsSince(mStart));
+  mRefusalSeconds[aReason][second]++;
 }
 
 void
@@ -245,8 +248,14 @@
   const std::lock_guard<std::mutex> lock(mMutex);
   std::printf("answered: %lu\n", static_cast<unsigned long>(mAnswered));
   for (const auto& [reason, count] : mRefusals) {
-    std::printf(
-      "refused, %s: %lu\n", reason.c_str(), static_cast<unsigned long>(count));
+    std::printf("refused, %s: %lu (by second:",
+                reason.c_str(),
+                static_cast<unsigned long>(count));
+    for (const auto& [second, inSecond] : mRefusalSeconds.at(reason)) {
+      std::printf(" %d:%lu", second, static_cast<unsigned long>(inSecond));
+    }
+    std::printf(")
+");
   }
   for (const auto& [what, count] : mCuts) {
     std::printf(
--- a/standins/demo_driver/traffic.h
+++ b/standins/demo_driver/traffic.h
@@ -53,6 +53,9 @@
   std::vector<double> mDirect;  ///< Seconds, the same request sent directly.
   std::uint64_t mAnswered = 0;
   std::map<std::string, std::uint64_t> mRefusals;
+  std::map<std::string, std::map<int, std::uint64_t>> mRefusalSeconds;
+  std::chrono::steady_clock::time_point mStart =
+    std::chrono::steady_clock::now();
   std::map<std::string, std::uint64_t> mCuts;
   std::atomic<std::uint64_t> mWrongAnswers{ 0 };
   std::atomic<std::uint64_t> mReplays{ 0 };
--- a/tests/fleet/test_membership.cpp
+++ b/tests/fleet/test_membership.cpp
@@ -1,4 +1,4 @@
-#include "tests/fleet/simulated_fleet.h"
+#include "tests/fakes/simulated_fleet.h"
 #include "tests/story.h"
 
 using namespace cowslipline;
