Count the bytes written to the store, keep the segment size

Cause: each commit writes the whole open segment again, which the figures did not show.

Change: a counter and a column of the benchmark.

Latency and reads matter more than bytes at the store's limits, which are given in calls.

--- a/bench/bench_outcomes.cpp
+++ b/bench/bench_outcomes.cpp
@@ -108,6 +108,13 @@
     return bytes;
   }
 
+  /// Bytes of all values written to the store.
+  double WrittenBytes() const
+  {
+    return static_cast<double>(
+      mCounters->Counter("cowslipline_outcome_store_bytes_total").Value());
+  }
+
   manual_scheduler mClock;
   memory_peer_network mNetwork;
   std::shared_ptr<memory_store_content> mContent;
@@ -118,18 +125,17 @@
     const auto number = mRecords.size();
     auto membership = std::make_shared<fixed_membership>(aSelf, mMembers);
     auto channel = mNetwork.Join(aSelf.mName);
-    auto counters = std::make_shared<metrics>();
     mOwners.push_back(std::make_shared<shard_owner>(
       outcome_environment{
         &mClock,
         std::make_shared<memory_key_value_store>(mClock, mContent, number),
-        counters,
+        mCounters,
         {} },
       membership,
       number));
     mRecords.push_back(std::make_shared<fleet_outcome_records>(
       fleet_outcome_records::services{
-        &mClock, channel, membership, counters, "secret" },
+        &mClock, channel, membership, mCounters, "secret" },
       mOwners.back(),
       number + 1000));
     mRecords.back()->HandlePeers();
@@ -157,6 +163,7 @@
   }
 
   random_source mRandom;
+  std::shared_ptr<metrics> mCounters = std::make_shared<metrics>();
   std::vector<member> mMembers;
   std::vector<std::shared_ptr<shard_owner>> mOwners;
   std::vector<std::shared_ptr<fleet_outcome_records>> mRecords;
@@ -175,7 +182,7 @@
   const double seconds = std::chrono::duration<double>(kLoadTime).count();
   const auto claims = static_cast<double>(result.mLatencies.size());
   std::printf("%8.0f %9.1f %9.1f %9.0f %8.1f %8.1f %8d %9.1f %8.0f %8.0f "
-              "%8.0f\n",
+              "%8.0f %8.0f\n",
               aRate,
               static_cast<double>(counts.mWrites) / seconds,
               static_cast<double>(counts.mReads) / seconds,
@@ -186,7 +193,8 @@
               used / claims * 1e6,
               static_cast<double>(fleet.StoreBytes()) / claims,
               static_cast<double>(fleet.IndexBytes()) / claims,
-              static_cast<double>(HeapBytes() - heap) / claims);
+              static_cast<double>(HeapBytes() - heap) / claims,
+              fleet.WrittenBytes() / seconds / 1e3);
 }
 
 /// Writes a shard with the given number of finished records and measures how
@@ -249,7 +257,7 @@
   std::printf("40 instances, store latency 2 ms, peers 0.5 ms one way; the "
               "baseline is one create-if-absent\nwrite for each claim and one "
               "for each outcome. CPU includes the simulation.\n\n");
-  std::printf("%8s %9s %9s %9s %8s %8s %8s %9s %8s %8s %8s\n",
+  std::printf("%8s %9s %9s %9s %8s %8s %8s %9s %8s %8s %8s %8s\n",
               "claims/s",
               "writes/s",
               "reads/s",
@@ -260,7 +268,8 @@
               "us/claim",
               "store B",
               "index B",
-              "heap B");
+              "heap B",
+              "KB/s");
   for (const double rate : { 1.0, 10.0, 100.0, 1000.0 }) {
     MeasureLoad(rate);
   }
--- a/modules/outcomes/shard_log.cpp
+++ b/modules/outcomes/shard_log.cpp
@@ -298,6 +298,8 @@
   mBudget.Spend(clock.Now());
   mEnvironment.mMetrics->Counter("cowslipline_outcome_store_writes_total")
     .Add();
+  mEnvironment.mMetrics->Counter("cowslipline_outcome_store_bytes_total")
+    .Add(aValue.size());
   return mEnvironment.mStore->CompareAndSwap(aKey, aExpected, aValue, aYield);
 }
 
