--- a/standins/demo_driver/traffic.cpp
+++ b/standins/demo_driver/traffic.cpp
@@ -254,8 +254,7 @@
     for (const auto& [second, inSecond] : mRefusalSeconds.at(reason)) {
       std::printf(" %d:%lu", second, static_cast<unsigned long>(inSecond));
     }
-    std::printf(")
-");
+    std::printf(")\n");
   }
   for (const auto& [what, count] : mCuts) {
     std::printf(
