Test a lost answer whose publication was replaced

A trial that ignored the history when a lost answer is resolved passed all tests. A store that applies the swap, lets another operator publish and then loses the answer now fails that trial.

--- a/tests/configuration/test_publisher.cpp
+++ b/tests/configuration/test_publisher.cpp
@@ -1,6 +1,8 @@
 #include "tests/configuration/publication_fixture.h"
 
 #include <algorithm>
+#include <functional>
+#include <utility>
 
 using namespace cowslipline;
 using namespace cowslipline::testing;
@@ -33,6 +35,54 @@
   });
 }
 
+/// Applies the first swap of the head, lets another operator publish, and
+/// then loses the answer.
+class interrupted_store final : public key_value_store
+{
+public:
+  interrupted_store(key_value_store& aStore,
+                    std::function<void(yield_context)> aInterruption)
+    : mStore(aStore)
+    , mInterruption(std::move(aInterruption))
+  {
+  }
+
+  result<std::optional<versioned_value>> Read(std::string_view aKey,
+                                              yield_context aYield) override
+  {
+    return mStore.Read(aKey, aYield);
+  }
+  result<std::uint64_t> CompareAndSwap(std::string_view aKey,
+                                       std::uint64_t aExpected,
+                                       std::string_view aValue,
+                                       yield_context aYield) override
+  {
+    const auto swapped = mStore.CompareAndSwap(aKey, aExpected, aValue, aYield);
+    if (aKey != kHeadKey || !mInterruption) {
+      return swapped;
+    }
+    std::exchange(mInterruption, nullptr)(aYield);
+    return Fail(errc::StoreAnswerLost);
+  }
+  result<std::optional<versioned_value>> Watch(std::string_view aKey,
+                                               std::uint64_t aAfter,
+                                               duration aWait,
+                                               yield_context aYield) override
+  {
+    return mStore.Watch(aKey, aAfter, aWait, aYield);
+  }
+  result<void> Remove(std::string_view aKey,
+                      std::uint64_t aExpected,
+                      yield_context aYield) override
+  {
+    return mStore.Remove(aKey, aExpected, aYield);
+  }
+
+private:
+  key_value_store& mStore;
+  std::function<void(yield_context)> mInterruption;
+};
+
 } // namespace
 
 TEST_GROUP(publisher){};
@@ -123,9 +173,9 @@
   }
 }
 
-// Guards against an accepted publication that is reported as lost because
-// another one replaced it before the answer was resolved.
-TEST(publisher, ALostAnswerThatWasReplacedIsFoundInTheHistory)
+// Guards against verdicts that contradict the store when races and lost
+// answers come together.
+TEST(publisher, VerdictsOfTwoWithLostAnswersAgreeWithTheStore)
 {
   publication_fixture fixture;
   fixture.Publish(ContentWithRate(1));
@@ -154,6 +204,28 @@
   CHECK(accepted > 60);
 }
 
+// Guards against an accepted publication that is reported as a conflict
+// because another one replaced it before its lost answer was resolved.
+TEST(publisher, ALostAnswerThatWasReplacedIsFoundInTheHistory)
+{
+  publication_fixture fixture;
+  fixture.Publish(ContentWithRate(1));
+  const auto second = fixture.NewOperator(2);
+  std::uint64_t secondVersion = 0;
+  interrupted_store store(fixture.mFirst->mStore, [&](yield_context aYield) {
+    secondVersion = AcceptedVersion(
+      second->mPublisher.Publish(ContentWithRate(3), { "bruno", {} }, aYield));
+  });
+  publisher first(fixture.mClock, store);
+  const auto outcome =
+    fixture.Run<result<publication_outcome>>([&first](yield_context aYield) {
+      return first.Publish(ContentWithRate(2), { "ana", {} }, aYield);
+    });
+  LONGS_EQUAL(2, AcceptedVersion(outcome));
+  LONGS_EQUAL(3, secondVersion);
+  DOUBLES_EQUAL(3, RateInForce(fixture), 0);
+}
+
 // Guards against a half publication while the store is away.
 TEST(publisher, AnUnavailableStoreChangesNothing)
 {
