Count only chunks that a publication wrote; check ports and zones

A rollback reported chunks as written that were in the store already. The examples' ports are distinct from 21001 to 21055 and each zone has its third of every service.

--- a/modules/configuration/publisher.cpp
+++ b/modules/configuration/publisher.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <set>
+#include <utility>
 
 #include <sodium.h>
 
@@ -259,22 +260,25 @@
 {
   const std::set<digest16> present(aInForce.mHead.mChunks.begin(),
                                    aInForce.mHead.mChunks.end());
+  bool isLater = false;
   for (const auto& [digest, bytes] : aEncoded.mChunks) {
     if (present.count(digest) > 0) {
       continue;
     }
-    if (aAccepted.mChunksWritten > 0) {
+    if (std::exchange(isLater, true)) {
       mScheduler.SleepFor(kChunkPause, aYield);
     }
     const auto written = WriteOnce(ChunkKey(digest), bytes, aYield);
     COWSLIPLINE_PROPAGATE(written);
-    ++aAccepted.mChunksWritten;
-    aAccepted.mBytesWritten += bytes.size();
+    if (*written) {
+      ++aAccepted.mChunksWritten;
+      aAccepted.mBytesWritten += bytes.size();
+    }
   }
   return {};
 }
 
-result<void>
+result<bool>
 publisher::WriteOnce(const std::string& aKey,
                      const std::string& aValue,
                      yield_context aYield)
@@ -282,15 +286,18 @@
   for (int attempt = 1;; ++attempt) {
     const auto written =
       mStore.CompareAndSwap(aKey, kAbsentVersion, aValue, aYield);
-    if (written || written.error() == errc::StoreConflict) {
-      return {};
+    if (written) {
+      return true;
+    }
+    if (written.error() == errc::StoreConflict) {
+      return attempt > 1;
     }
     if (written.error() != errc::StoreAnswerLost) {
       return Fail(written.error());
     }
     const auto read = mStore.Read(aKey, aYield);
     if (read && *read) {
-      return {};
+      return true;
     }
     // Nothing is in force before the head is swapped, so a write that cannot
     // be confirmed is the same as an unavailable store.
@@ -310,8 +317,10 @@
   }
   // The replaced head is kept before the swap, not the new one after it: a
   // publisher that ends in between leaves no gap.
-  return WriteOnce(
+  const auto written = WriteOnce(
     HistoryKey(aInForce.mHead.mVersion), EncodeHead(aInForce.mHead), aYield);
+  COWSLIPLINE_PROPAGATE(written);
+  return {};
 }
 
 result<publication_outcome>
--- a/modules/configuration/publisher.h
+++ b/modules/configuration/publisher.h
@@ -137,8 +137,8 @@
                            const encoded_content& aEncoded,
                            publication_accepted& aAccepted,
                            yield_context aYield);
-  /// Writes an immutable value unless it exists.
-  result<void> WriteOnce(const std::string& aKey,
+  /// Writes an immutable value. False when it existed already.
+  result<bool> WriteOnce(const std::string& aKey,
                          const std::string& aValue,
                          yield_context aYield);
   result<configuration_content> ReadContent(const configuration_head& aHead,
--- a/tests/configuration/test_publisher.cpp
+++ b/tests/configuration/test_publisher.cpp
@@ -271,7 +271,9 @@
 
   SECTION("a version of the history comes back under a new number")
   {
-    LONGS_EQUAL(26, AcceptedVersion(fixture.Rollback(10)));
+    const auto outcome = fixture.Rollback(10);
+    LONGS_EQUAL(26, AcceptedVersion(outcome));
+    LONGS_EQUAL(0, std::get<publication_accepted>(*outcome).mChunksWritten);
     DOUBLES_EQUAL(10, RateInForce(fixture), 0);
     LONGS_EQUAL(26, fixture.Snapshot()->mVersion);
   }
--- a/tests/configuration/test_tool.cpp
+++ b/tests/configuration/test_tool.cpp
@@ -4,10 +4,13 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <map>
+#include <set>
 #include <sstream>
 
 #include <nlohmann/json.hpp>
 
+#include "apps/cowslipline/file_reader.h"
 #include "apps/cowslipline/tool.h"
 #include "modules/configuration/configuration.h"
 #include "tests/story.h"
@@ -81,6 +84,38 @@
   }
 }
 
+// Guards against targets that share a port, and against a zone whose failure
+// takes more than its share of a service.
+TEST(tool, TheExamplesHaveDistinctPortsAndEvenZones)
+{
+  const auto files =
+    ReadServiceFiles({ kExamples + "hronec", kExamples + "lagoa-viva" });
+  CHECK(files.has_value());
+  std::set<std::uint16_t> ports;
+  std::size_t targets = 0;
+  for (const auto& file : *files) {
+    if (Contains(file.mName, "organisations.toml")) {
+      continue;
+    }
+    const auto content = ParseServiceFiles({ file });
+    CHECK(content.has_value());
+    std::map<std::string, std::size_t> zones;
+    for (const auto& target : content->mServices.at(0).mService.mTargets) {
+      ++zones[target.mAvailabilityZone];
+      ports.insert(target.mPort);
+      ++targets;
+    }
+    LONGS_EQUAL(3, zones.size());
+    for (const auto& zone : zones) {
+      const auto size = content->mServices[0].mService.mTargets.size();
+      CHECK(zone.second == size / 3 || zone.second == size / 3 + 1);
+    }
+  }
+  LONGS_EQUAL(targets, ports.size());
+  LONGS_EQUAL(21'001, *ports.begin());
+  LONGS_EQUAL(21'055, *ports.rbegin());
+}
+
 // Guards against a step of an operator's day that does not work through the
 // store's HTTP protocol.
 TEST(tool, AnOperatorsDay)
