--- a/tests/configuration/test_daemon_settings.cpp
+++ b/tests/configuration/test_daemon_settings.cpp
@@ -34,6 +34,8 @@
   const char* mRemedy;
 };
 
+// One case for each line.
+// clang-format off
 const wrong_settings kWrongSettings[] = {
   { "instance = \"hronec-1\"", "", 1, "instance", "1 to 64" },
   { "hronec-1", "Hronec 1", 1, "instance", "lower-case" },
@@ -44,26 +46,10 @@
   { "[peers]", "[peers]\nport = -1", 6, "peers.port", "0 to 65535" },
   { "10.0.0.5", "0.0.0.0", 6, "peers.address", "not 0.0.0.0" },
   { "10.0.0.5", "localhost", 6, "peers.address", "IP number" },
-  { "[peers]",
-    "[callers]\naddress = \"x\"\n[peers]",
-    6,
-    "callers.address",
-    "IP number" },
-  { "[peers]",
-    "[admin]\nport = 65536\n[peers]",
-    6,
-    "admin.port",
-    "0 to 65535" },
-  { "[peers]",
-    "[bounds]\nthreads = 0\n[peers]",
-    6,
-    "bounds.threads",
-    "1 to 1024" },
-  { "[peers]",
-    "[bounds]\nqueue = 4\n[peers]",
-    6,
-    "bounds.queue",
-    "threads, accepted" },
+  { "[peers]", "[callers]\naddress = \"x\"\n[peers]", 6, "callers.address", "IP number" },
+  { "[peers]", "[admin]\nport = 65536\n[peers]", 6, "admin.port", "0 to 65535" },
+  { "[peers]", "[bounds]\nthreads = 0\n[peers]", 6, "bounds.threads", "1 to 1024" },
+  { "[peers]", "[bounds]\nqueue = 4\n[peers]", 6, "bounds.queue", "threads, accepted" },
   { "[peers]", "[fleet]\n[peers]", 5, "fleet", "instance" },
   { "[peers]", "callers = 1\n[peers]", 5, "callers", "write [callers]" },
   { "port = 7000", "", 7, "store.port", "1 to 65535" },
@@ -71,6 +57,7 @@
   { "store.internal", "a b", 8, "store.host", "host name" },
   { "region = ", "region ", 3, "", "valid TOML" },
 };
+// clang-format on
 
 } // namespace
 
