--- a/modules/configuration/cbor.cpp
+++ b/modules/configuration/cbor.cpp
@@ -128,7 +128,7 @@
 } // namespace
 
 result<nlohmann::json>
-DecodeCbor(std::string_view aBytes)
+DecodeBoundedCbor(std::string_view aBytes)
 {
   if (!cbor_scanner(aBytes).IsBounded()) {
     return Fail(errc::MessageMalformed);
@@ -141,7 +141,7 @@
 }
 
 std::string
-EncodeCbor(const nlohmann::json& aValue)
+EncodeBoundedCbor(const nlohmann::json& aValue)
 {
   std::string bytes;
   nlohmann::json::to_cbor(aValue, bytes);
--- a/modules/configuration/cbor.h
+++ b/modules/configuration/cbor.h
@@ -17,10 +17,10 @@
 /// nested item, so that a few hundred kilobytes of crafted bytes would
 /// overflow a task's stack. Errors: errc::MessageMalformed.
 result<nlohmann::json>
-DecodeCbor(std::string_view aBytes);
+DecodeBoundedCbor(std::string_view aBytes);
 
 std::string
-EncodeCbor(const nlohmann::json& aValue);
+EncodeBoundedCbor(const nlohmann::json& aValue);
 
 /// Reads the fields of a CBOR array in order. After the first field that is
 /// missing or has another type, all further fields read as empty.
--- a/modules/configuration/chunk_groups.cpp
+++ b/modules/configuration/chunk_groups.cpp
@@ -50,7 +50,7 @@
 chunk_entry
 MakeChunkEntry(const std::string& aName, nlohmann::json aValue)
 {
-  const auto bytes = EncodeCbor(aValue).size();
+  const auto bytes = EncodeBoundedCbor(aValue).size();
   return { Hash64(aName), aName, bytes, std::move(aValue) };
 }
 
--- a/modules/configuration/codec.cpp
+++ b/modules/configuration/codec.cpp
@@ -43,8 +43,8 @@
     for (auto& entry : group) {
       values.push_back(std::move(entry.mValue));
     }
-    auto bytes =
-      EncodeCbor(json::array({ kChunkFormat, aKind, std::move(values) }));
+    auto bytes = EncodeBoundedCbor(
+      json::array({ kChunkFormat, aKind, std::move(values) }));
     if (bytes.size() > kLargestChunkBytes) {
       return Fail(errc::StoreValueTooLarge);
     }
@@ -98,7 +98,7 @@
 std::size_t
 EncodedBytes(const service_definition& aService)
 {
-  return EncodeCbor(EncodeService(aService)).size();
+  return EncodeBoundedCbor(EncodeService(aService)).size();
 }
 
 result<encoded_content>
@@ -133,7 +133,7 @@
 result<void>
 DecodeChunk(std::string_view aBytes, configuration_content& aContent)
 {
-  const auto value = DecodeCbor(aBytes);
+  const auto value = DecodeBoundedCbor(aBytes);
   COWSLIPLINE_PROPAGATE(value);
   field_reader reader(*value);
   const auto format = reader.Unsigned(kChunkFormat);
--- a/modules/configuration/head.cpp
+++ b/modules/configuration/head.cpp
@@ -55,13 +55,13 @@
   fields.push_back(aHead.mAuthor);
   fields.push_back(static_cast<std::uint64_t>(aHead.mPublishedAt));
   fields.push_back(PackDigests(aHead.mChunks));
-  return EncodeCbor(fields);
+  return EncodeBoundedCbor(fields);
 }
 
 result<configuration_head>
 DecodeHead(std::string_view aBytes)
 {
-  const auto value = DecodeCbor(aBytes);
+  const auto value = DecodeBoundedCbor(aBytes);
   COWSLIPLINE_PROPAGATE(value);
   field_reader reader(*value);
   const auto format = reader.Unsigned(kHeadFormat);
