--- a/bench/bench_limits.cpp
+++ b/bench/bench_limits.cpp
@@ -48,8 +48,10 @@
 std::vector<organisation>
 Organisations(std::size_t aInstances)
 {
-  const auto total = kRequestsPerInstance / kLoad * aInstances;
+  const auto total =
+    kRequestsPerInstance / kLoad * static_cast<double>(aInstances);
   std::vector<organisation> all;
+  all.reserve(kOrganisations);
   for (std::size_t i = 0; i < kOrganisations; ++i) {
     const auto share = i < 8 ? 0.1 : 0.2 / (kOrganisations - 8);
     const auto rate = std::max(1.0, total * share);
@@ -88,6 +90,7 @@
 {
   limiter_fleet fleet(7);
   std::vector<organisation> all;
+  all.reserve(kIdleOrganisations);
   for (std::size_t i = 0; i < kIdleOrganisations; ++i) {
     all.push_back({ "organisation-" + std::to_string(i), 1, 2 });
   }
--- a/modules/limits/token_client.cpp
+++ b/modules/limits/token_client.cpp
@@ -209,7 +209,8 @@
   const auto target = AheadTarget(limits, aUse);
   const double held = aUse.mTokens.Count(mScheduler.Now());
   const auto ahead = target < 1 ? 0 : std::ceil(std::max(target - held, 0.0));
-  return static_cast<std::uint32_t>(aUse.mWaiters.size() + ahead);
+  return static_cast<std::uint32_t>(aUse.mWaiters.size()) +
+         static_cast<std::uint32_t>(ahead);
 }
 
 void
--- a/modules/limits/unit_table.cpp
+++ b/modules/limits/unit_table.cpp
@@ -158,6 +158,7 @@
                       unsigned aShare) const
 {
   std::vector<std::pair<unsigned, instance_name>> holders;
+  holders.reserve(aLive.size());
   for (const auto& name : aLive) {
     holders.emplace_back(Held(name), name);
   }
--- a/tests/limits/test_refusals.cpp
+++ b/tests/limits/test_refusals.cpp
@@ -14,6 +14,7 @@
 Organisations()
 {
   std::vector<organisation> all;
+  all.reserve(48);
   for (int i = 0; i < 40; ++i) {
     all.push_back({ "small-" + std::to_string(i), 1.0 + i % 4, 2.0 + i % 4 });
   }
--- a/tests/limits/test_window_bound.cpp
+++ b/tests/limits/test_window_bound.cpp
@@ -130,13 +130,14 @@
         mFleet.mStoreContent->mFaults.mIsAway = mRandom.Below(3) == 0;
         break;
       case 6:
-        mFleet.mStoreContent->mFaults.mAnswerLoss = mRandom.Below(2) * 0.5;
+        mFleet.mStoreContent->mFaults.mAnswerLoss =
+          mRandom.Below(2) == 0 ? 0 : 0.5;
         break;
       case 7:
         mFleet.mIsSplit = mRandom.Below(2) == 0;
         break;
       case 8:
-        mFleet.mNetwork.SetLoss(mRandom.Below(3) * 0.1);
+        mFleet.mNetwork.SetLoss(static_cast<double>(mRandom.Below(3)) * 0.1);
         mFleet.mNetwork.SetLatency(
           std::chrono::microseconds(200 + mRandom.Below(20000)));
         break;
@@ -204,6 +205,11 @@
 // Guards against any path by which the fleet admits more than rate x window +
 // burst: pauses, late grants, two owners, restarts, one-way cuts, a store that
 // is away or loses answers, and instances that join and leave.
+//
+// That the check can fail was tried with one fault in fraction_holder::Cede():
+// with `if (false)` in place of `if (IsCeded(aShard, aNow) && !isSame)`, so
+// that a member cedes to a second owner while the first cession lasts, seed 1
+// reports more "odd" requests than the bound allows.
 TEST(window_bound, HoldsUnderRandomFaults)
 {
   const auto* count = std::getenv("COWSLIPLINE_WINDOW_SEEDS");
