End the tasks of the health tests before their stacks are freed

AddressSanitizer reports the unwinding of a suspended task's stack; the simulated fleet now lets its tasks end. Also fixes three lint findings.

--- a/bench/bench_health.cpp
+++ b/bench/bench_health.cpp
@@ -428,6 +428,7 @@
   constexpr int kThreads = 3;
   std::atomic<std::size_t> next{ 0 };
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   for (int i = 0; i < kThreads; ++i) {
     threads.emplace_back([&] {
       for (auto index = next++; index < aJobs.size(); index = next++) {
@@ -548,6 +549,7 @@
 MakeJobs(bool aIsQuick)
 {
   std::vector<job> jobs;
+  jobs.reserve(64);
   const auto hour = aIsQuick ? duration(600s) : duration(3600s);
   const std::uint64_t fleets = aIsQuick ? 4 : 12;
   const std::vector<std::pair<const char*, fleet_settings>> sizes = {
--- a/modules/health/service_detector.cpp
+++ b/modules/health/service_detector.cpp
@@ -312,8 +312,9 @@
   made.mReason = aReason;
   made.mScope = std::move(aScope);
   made.mEvidence = watched.mTests.at(IndexOf(aReason)).Evidence();
-  made.mSeverity = static_cast<double>(made.mEvidence.mFailures) /
-                   std::max<double>(1, made.mEvidence.mRequests);
+  made.mSeverity =
+    static_cast<double>(made.mEvidence.mFailures) /
+    static_cast<double>(std::max<std::uint64_t>(1, made.mEvidence.mRequests));
   made.mTimeLeft =
     std::chrono::duration_cast<std::chrono::milliseconds>(length);
   watched.mActive.push_back({ made, aNow + length });
--- a/tests/health/simulated_fleet.h
+++ b/tests/health/simulated_fleet.h
@@ -148,6 +148,20 @@
     }
   }
 
+  simulated_fleet(const simulated_fleet&) = delete;
+  simulated_fleet& operator=(const simulated_fleet&) = delete;
+
+  /// Lets all tasks end: AddressSanitizer reports the unwinding of a suspended
+  /// task's stack as an error.
+  ~simulated_fleet()
+  {
+    mHasTraffic = false;
+    for (auto& one : mInstances) {
+      one.mKernel->Stop();
+    }
+    mClock.Advance(std::chrono::seconds(30));
+  }
+
   static std::string ZoneName(std::size_t aIndex)
   {
     return "zone-" + std::to_string(aIndex % 3);
--- a/tests/health/test_requests.cpp
+++ b/tests/health/test_requests.cpp
@@ -64,10 +64,11 @@
 
 TEST_GROUP(admission)
 {
-  simulated_fleet mFleet{ OneService(1) };
-  admission_queue& mQueue = *mFleet.Instance(0).mQueue;
   int mEntered[2] = { 0, 0 };
   int mRefused[2] = { 0, 0 };
+  // After the counters, so that its tasks end before the counters do.
+  simulated_fleet mFleet{ OneService(1) };
+  admission_queue& mQueue = *mFleet.Instance(0).mQueue;
 
   void Send(organisation_index aOrganisation, duration aTimeout)
   {
