--- a/bench/bench_health.cpp
+++ b/bench/bench_health.cpp
@@ -376,6 +376,49 @@
   return made;
 }
 
+/// One target of every service can't be reached from one zone; an ejection in
+/// the whole fleet is false.
+measurement
+MeasurePartition(const fleet_settings& aSettings, std::uint64_t aFleets)
+{
+  measurement made;
+  for (std::uint64_t seed = 1; seed <= aFleets; ++seed) {
+    const auto fleet = MakeFleet(aSettings, baseline::None, seed);
+    fleet->Advance(kWarmUp);
+    for (std::size_t round = 0; round < kRounds; ++round) {
+      const auto zone = simulated_fleet::ZoneName(round + seed);
+      target_fault fault;
+      for (const auto& one : fleet->Members()) {
+        if (one.mAvailabilityZone == zone) {
+          fault.mCutOff.insert(one.mName);
+        }
+      }
+      const fault_case both{ "", fault, std::nullopt, 0, 0 };
+      const auto faulty = Inject(*fleet, both, round);
+      fleet->Advance(5s);
+      for (const auto& [s, t] : faulty) {
+        fleet->Target(s, t).mFault = {};
+      }
+      fleet->Advance(kRecovery);
+    }
+    ejection_audit audit;
+    for (const auto& one : aSettings.mServices) {
+      for (std::size_t t = 0; t < kRounds; ++t) {
+        for (const auto& record : fleet->Instance(0).mSelector->Explain(
+               one.mName, "target-" + std::to_string(t))) {
+          const bool isEjection = record.mAction == ejection_action::Ejected;
+          const bool isFleet =
+            record.mReason.find("fleet") != std::string::npos;
+          audit.mAll += isEjection ? 1 : 0;
+          audit.mFalse += isEjection && isFleet ? 1 : 0;
+        }
+      }
+    }
+    made.Add(fleet->Counts(), audit);
+  }
+  return made;
+}
+
 measurement
 MeasureQuietHour(const fleet_settings& aSettings,
                  baseline aBaseline,
@@ -545,6 +588,27 @@
   return made;
 }
 
+job
+PartitionJob(const char* aSize,
+             const fleet_settings& aSettings,
+             std::uint64_t aFleets)
+{
+  job made;
+  made.mRun = [=] { return MeasurePartition(aSettings, aFleets); };
+  made.mPrint = [=](const measurement& aResult) {
+    const bool isMet = aResult.mAudit.mFalse * 100 <= aResult.mAudit.mAll;
+    std::printf("%-11s %-19s %-29s fleet-wide %llu of %llu ejections  %s\n",
+                aSize,
+                NameOf(baseline::None),
+                "one zone cut off",
+                static_cast<unsigned long long>(aResult.mAudit.mFalse),
+                static_cast<unsigned long long>(aResult.mAudit.mAll),
+                Verdict(true, isMet));
+    return isMet;
+  };
+  return made;
+}
+
 std::vector<job>
 MakeJobs(bool aIsQuick)
 {
@@ -574,6 +638,7 @@
                600s));
   }
   for (const auto& [name, settings] : sizes) {
+    jobs.push_back(PartitionJob(name, settings, fleets / 2));
     for (const auto& one : FaultCases()) {
       jobs.push_back(DetectionJob(name, settings, baseline::None, one, fleets));
     }
