Decode all CBOR through one bounded reader in core

Cause: the depth check in core did not see strings of indefinite length, for which the library recurses as well; 512 KiB of 0x7f overflowed a task's stack.

The scanner is in core now and serves every module. Tests feed it the nested strings, deep arrays, excessive lengths and drawn bytes.

--- a/bench/bench_fleet.cpp
+++ b/bench/bench_fleet.cpp
@@ -1,4 +1,4 @@
-#include "tests/fakes/simulated_fleet.h"
+#include "tests/fakes/membership_fleet.h"
 
 #include <cstdio>
 #include <ctime>
@@ -39,17 +39,17 @@
 }
 
 std::uint64_t
-BytesSent(const simulated_fleet& aFleet)
+BytesSent(const membership_fleet& aFleet)
 {
   std::uint64_t bytes = 0;
   for (std::size_t i = 0; i < aFleet.Size(); ++i) {
-    bytes += aFleet.mNetwork.SentBy(simulated_fleet::NameOf(i)).mPayloadBytes;
+    bytes += aFleet.mNetwork.SentBy(membership_fleet::NameOf(i)).mPayloadBytes;
   }
   return bytes;
 }
 
 std::uint64_t
-StoreCalls(const simulated_fleet& aFleet)
+StoreCalls(const membership_fleet& aFleet)
 {
   const auto& counts = aFleet.mContent->mCounts;
   return counts.mReads + counts.mWrites + counts.mWatches;
@@ -57,7 +57,7 @@
 
 /// Simulated milliseconds until a publication is in force everywhere.
 double
-MeasureSpread(simulated_fleet& aFleet, std::uint64_t aVersion)
+MeasureSpread(membership_fleet& aFleet, std::uint64_t aVersion)
 {
   const auto start = aFleet.mClock.Now();
   aFleet.Publish(aVersion);
@@ -73,7 +73,7 @@
 MeasureFleet(std::size_t aCount)
 {
   const auto memoryBefore = ResidentMegabytes();
-  simulated_fleet fleet(aCount, 7);
+  membership_fleet fleet(aCount, 7);
   fleet.Publish(1);
   fleet.mClock.Advance(kWarmUp);
   const auto memory = ResidentMegabytes() - memoryBefore;
--- a/core/cbor.cpp
+++ b/core/cbor.cpp
@@ -1,50 +1,126 @@
 #include "core/cbor.h"
 
+#include <vector>
+
 namespace cowslipline {
 
 namespace {
 
-constexpr int kLargestDepth = 32;
+// Deeper than any message of the project; the library recurses for each level,
+// and a task's stack has 256 KiB.
+constexpr std::size_t kDeepestNesting = 16;
 
-/// Stops at the first level that is too deep, keeps nothing.
-class depth_checker final : public nlohmann::json_sax<nlohmann::json>
+/// Walks over the items without building them.
+class cbor_scanner
 {
 public:
-  // The names come from the library's interface.
-  // NOLINTBEGIN(readability-identifier-naming)
-  bool null() override { return true; }
-  bool boolean(bool /*aValue*/) override { return true; }
-  bool number_integer(number_integer_t /*aValue*/) override { return true; }
-  bool number_unsigned(number_unsigned_t /*aValue*/) override { return true; }
-  bool number_float(number_float_t /*aValue*/,
-                    const string_t& /*aText*/) override
+  explicit cbor_scanner(std::string_view aBytes)
+    : mBytes(aBytes)
   {
-    return true;
   }
-  bool string(string_t& /*aValue*/) override { return true; }
-  bool binary(binary_t& /*aValue*/) override { return true; }
-  bool key(string_t& /*aValue*/) override { return true; }
-  bool start_object(std::size_t /*aElements*/) override { return Enter(); }
-  bool start_array(std::size_t /*aElements*/) override { return Enter(); }
-  bool end_object() override { return Exit(); }
-  bool end_array() override { return Exit(); }
-  bool parse_error(std::size_t /*aPosition*/,
-                   const std::string& /*aToken*/,
-                   const nlohmann::json::exception& /*aError*/) override
+
+  bool IsBounded()
   {
-    return false;
+    mOpen.push_back(1);
+    while (!mOpen.empty()) {
+      if (mOpen.back() == 0) {
+        mOpen.pop_back();
+        continue;
+      }
+      --mOpen.back();
+      if (!SkipHead()) {
+        return false;
+      }
+    }
+    return mPosition == mBytes.size();
   }
-  // NOLINTEND(readability-identifier-naming)
 
 private:
-  bool Enter() { return ++mDepth <= kLargestDepth; }
-  bool Exit()
+  static constexpr unsigned kInfoMask = 31;
+  static constexpr unsigned kOneByteInfo = 24;
+  static constexpr unsigned kEightByteInfo = 27;
+  static constexpr unsigned kMajorShift = 5;
+
+  enum major : unsigned
+  {
+    Bytes = 2,
+    Text = 3,
+    Array = 4,
+    Map = 5,
+    Tag = 6,
+  };
+
+  std::size_t Left() const { return mBytes.size() - mPosition; }
+
+  bool ReadArgument(unsigned aInfo, std::uint64_t& aArgument)
+  {
+    if (aInfo < kOneByteInfo) {
+      aArgument = aInfo;
+      return true;
+    }
+    if (aInfo > kEightByteInfo) {
+      return false;
+    }
+    const std::size_t count = std::size_t{ 1 } << (aInfo - kOneByteInfo);
+    if (Left() < count) {
+      return false;
+    }
+    aArgument = 0;
+    for (std::size_t i = 0; i < count; ++i) {
+      aArgument =
+        aArgument << 8U | static_cast<std::uint8_t>(mBytes[mPosition++]);
+    }
+    return true;
+  }
+
+  bool SkipHead()
+  {
+    if (Left() == 0) {
+      return false;
+    }
+    const auto first = static_cast<std::uint8_t>(mBytes[mPosition++]);
+    std::uint64_t argument = 0;
+    if (!ReadArgument(first & kInfoMask, argument)) {
+      return false;
+    }
+    switch (first >> kMajorShift) {
+      case Bytes:
+      case Text:
+        return SkipBytes(argument);
+      case Array:
+        return Open(argument, 1);
+      case Map:
+        return Open(argument, 2);
+      case Tag:
+        return false;
+      default:
+        return true;
+    }
+  }
+
+  bool SkipBytes(std::uint64_t aCount)
   {
-    --mDepth;
+    if (aCount > Left()) {
+      return false;
+    }
+    mPosition += aCount;
     return true;
   }
 
-  int mDepth = 0;
+  bool Open(std::uint64_t aCount, std::uint64_t aItemsEach)
+  {
+    // Each item takes at least one byte.
+    if (aCount > Left() || mOpen.size() >= kDeepestNesting) {
+      return false;
+    }
+    mOpen.push_back(aCount * aItemsEach);
+    return true;
+  }
+
+  std::string_view mBytes;
+  std::size_t mPosition = 0;
+  /// Items still to come in each open array or map.
+  std::vector<std::uint64_t> mOpen;
 };
 
 } // namespace
@@ -52,13 +128,10 @@
 result<nlohmann::json>
 DecodeCbor(std::string_view aBytes)
 {
+  if (!cbor_scanner(aBytes).IsBounded()) {
+    return Fail(errc::MessageMalformed);
+  }
   try {
-    depth_checker checker;
-    const bool isShallow = nlohmann::json::sax_parse(
-      aBytes, &checker, nlohmann::json::input_format_t::cbor);
-    if (!isShallow) {
-      return Fail(errc::MessageMalformed);
-    }
     auto document = nlohmann::json::from_cbor(aBytes, true, false);
     if (document.is_discarded()) {
       return Fail(errc::MessageMalformed);
@@ -66,10 +139,6 @@
     return document;
   } catch (const nlohmann::json::exception&) {
     return Fail(errc::MessageMalformed);
-  } catch (const std::bad_alloc&) {
-    return Fail(errc::MessageMalformed);
-  } catch (const std::length_error&) {
-    return Fail(errc::MessageMalformed);
   }
 }
 
--- a/core/cbor.h
+++ b/core/cbor.h
@@ -9,9 +9,11 @@
 
 namespace cowslipline {
 
-/// Reads CBOR from outside. Never throws and never recurses deeper than 32
-/// levels: the library recurses for each level and throws for lengths that
-/// exceed its limits. Errors: errc::MessageMalformed.
+/// Decodes CBOR from an untrusted source: lengths must be definite, tags are
+/// refused and nesting is bounded. The library alone recurses once for each
+/// nested item, so that a few hundred kilobytes of crafted bytes would
+/// overflow a task's stack, and it throws for lengths that exceed its limits.
+/// Errors: errc::MessageMalformed.
 result<nlohmann::json>
 DecodeCbor(std::string_view aBytes);
 
--- a/modules/configuration/chunk_groups.cpp
+++ b/modules/configuration/chunk_groups.cpp
@@ -1,7 +1,8 @@
 #include "modules/configuration/chunk_groups.h"
 
+#include "core/cbor.h"
 #include "core/hash.h"
-#include "modules/configuration/cbor.h"
+#include "modules/configuration/field_reader.h"
 
 #include <algorithm>
 #include <iterator>
@@ -50,7 +51,7 @@
 chunk_entry
 MakeChunkEntry(const std::string& aName, nlohmann::json aValue)
 {
-  const auto bytes = EncodeBoundedCbor(aValue).size();
+  const auto bytes = EncodeCbor(aValue).size();
   return { Hash64(aName), aName, bytes, std::move(aValue) };
 }
 
--- a/modules/configuration/codec.cpp
+++ b/modules/configuration/codec.cpp
@@ -1,9 +1,10 @@
 #include "modules/configuration/codec.h"
 
+#include "core/cbor.h"
 #include "core/check.h"
-#include "modules/configuration/cbor.h"
 #include "modules/configuration/chunk_groups.h"
 #include "modules/configuration/entry_codec.h"
+#include "modules/configuration/field_reader.h"
 #include "modules/configuration/snapshot_builder.h"
 
 namespace cowslipline {
@@ -43,8 +44,8 @@
     for (auto& entry : group) {
       values.push_back(std::move(entry.mValue));
     }
-    auto bytes = EncodeBoundedCbor(
-      json::array({ kChunkFormat, aKind, std::move(values) }));
+    auto bytes =
+      EncodeCbor(json::array({ kChunkFormat, aKind, std::move(values) }));
     if (bytes.size() > kLargestChunkBytes) {
       return Fail(errc::StoreValueTooLarge);
     }
@@ -98,7 +99,7 @@
 std::size_t
 EncodedBytes(const service_definition& aService)
 {
-  return EncodeBoundedCbor(EncodeService(aService)).size();
+  return EncodeCbor(EncodeService(aService)).size();
 }
 
 result<encoded_content>
@@ -133,7 +134,7 @@
 result<void>
 DecodeChunk(std::string_view aBytes, configuration_content& aContent)
 {
-  const auto value = DecodeBoundedCbor(aBytes);
+  const auto value = DecodeCbor(aBytes);
   COWSLIPLINE_PROPAGATE(value);
   field_reader reader(*value);
   const auto format = reader.Unsigned(kChunkFormat);
--- a/modules/configuration/entry_codec.cpp
+++ b/modules/configuration/entry_codec.cpp
@@ -1,6 +1,7 @@
 #include "modules/configuration/entry_codec.h"
 
-#include "modules/configuration/cbor.h"
+#include "core/cbor.h"
+#include "modules/configuration/field_reader.h"
 
 #include <cmath>
 
--- a/modules/configuration/cbor.h
+++ b/modules/configuration/field_reader.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "core/hash.h"
-#include "core/result.h"
 
 #include <cstdint>
 #include <string>
@@ -12,16 +11,6 @@
 
 namespace cowslipline {
 
-/// Decodes CBOR from an untrusted source: lengths must be definite, tags are
-/// refused and nesting is bounded. The library alone recurses once for each
-/// nested item, so that a few hundred kilobytes of crafted bytes would
-/// overflow a task's stack. Errors: errc::MessageMalformed.
-result<nlohmann::json>
-DecodeBoundedCbor(std::string_view aBytes);
-
-std::string
-EncodeBoundedCbor(const nlohmann::json& aValue);
-
 /// Reads the fields of a CBOR array in order. After the first field that is
 /// missing or has another type, all further fields read as empty.
 class field_reader
--- a/modules/configuration/head.cpp
+++ b/modules/configuration/head.cpp
@@ -1,7 +1,8 @@
 #include "modules/configuration/head.h"
 
+#include "core/cbor.h"
 #include "core/check.h"
-#include "modules/configuration/cbor.h"
+#include "modules/configuration/field_reader.h"
 
 #include <algorithm>
 
@@ -55,13 +56,13 @@
   fields.push_back(aHead.mAuthor);
   fields.push_back(static_cast<std::uint64_t>(aHead.mPublishedAt));
   fields.push_back(PackDigests(aHead.mChunks));
-  return EncodeBoundedCbor(fields);
+  return EncodeCbor(fields);
 }
 
 result<configuration_head>
 DecodeHead(std::string_view aBytes)
 {
-  const auto value = DecodeBoundedCbor(aBytes);
+  const auto value = DecodeCbor(aBytes);
   COWSLIPLINE_PROPAGATE(value);
   field_reader reader(*value);
   const auto format = reader.Unsigned(kHeadFormat);
--- a/modules/health/drain_notices.cpp
+++ b/modules/health/drain_notices.cpp
@@ -1,5 +1,6 @@
 #include "modules/health/drain_notices.h"
 
+#include "core/cbor.h"
 #include <algorithm>
 
 #include <nlohmann/json.hpp>
@@ -68,7 +69,7 @@
 void
 drain_notices::Handle(const instance_name& aFrom, std::string_view aPayload)
 {
-  const auto value = json::from_cbor(aPayload, true, false);
+  const auto value = DecodeCbor(aPayload).value_or(json());
   if (!value.is_array() || value.size() != 2 ||
       !value[0].is_number_unsigned() || !value[1].is_number_unsigned()) {
     mMetrics->Counter("cowslipline_health_malformed_total").Add();
--- a/modules/health/ejection.cpp
+++ b/modules/health/ejection.cpp
@@ -1,5 +1,7 @@
 #include "modules/health/ejection.h"
 
+#include "core/cbor.h"
+#include "core/check.h"
 #include <algorithm>
 
 #include <nlohmann/json.hpp>
@@ -125,7 +127,9 @@
 {
   try {
     std::vector<ejection> ejections;
-    for (const auto& value : json::from_cbor(aPayload)) {
+    const auto values = DecodeCbor(aPayload);
+    COWSLIPLINE_PROPAGATE(values);
+    for (const auto& value : *values) {
       ejections.push_back(FromJson(value));
     }
     return ejections;
--- a/modules/health/evidence.cpp
+++ b/modules/health/evidence.cpp
@@ -1,5 +1,6 @@
 #include "modules/health/evidence.h"
 
+#include "core/cbor.h"
 #include <algorithm>
 #include <cmath>
 
@@ -110,7 +111,7 @@
 DecodeEvidence(std::string_view aPayload, steady_time aNow)
 {
   try {
-    const auto value = json::from_cbor(aPayload);
+    const auto value = DecodeCbor(aPayload).value_or(json());
     service_evidence evidence;
     evidence.mService = value.at(0).get<std::uint32_t>();
     evidence.mHeldDigest = value.at(1).get<std::uint32_t>();
--- a/modules/health/evidence_reporter.cpp
+++ b/modules/health/evidence_reporter.cpp
@@ -1,5 +1,6 @@
 #include "modules/health/evidence_reporter.h"
 
+#include "core/cbor.h"
 #include <nlohmann/json.hpp>
 
 namespace cowslipline {
@@ -34,7 +35,7 @@
                           std::string_view aPayload,
                           yield_context) -> result<std::string> {
                      const auto value =
-                       nlohmann::json::from_cbor(aPayload, true, false);
+                       DecodeCbor(aPayload).value_or(nlohmann::json());
                      auto* const service =
                        value.is_number_unsigned()
                          ? mTable->FindByHash(value.get<std::uint32_t>())
--- a/modules/health/request_quarantine.cpp
+++ b/modules/health/request_quarantine.cpp
@@ -1,5 +1,6 @@
 #include "modules/health/request_quarantine.h"
 
+#include "core/cbor.h"
 #include "core/log.h"
 
 #include <algorithm>
@@ -106,7 +107,7 @@
 void
 request_quarantine::HandleCrash(std::string_view aPayload)
 {
-  const auto value = json::from_cbor(aPayload, true, false);
+  const auto value = DecodeCbor(aPayload).value_or(json());
   if (!value.is_array() || value.size() != 2 ||
       !value[1].is_number_unsigned()) {
     return;
@@ -155,7 +156,7 @@
 void
 request_quarantine::HandleQuarantine(std::string_view aPayload)
 {
-  const auto value = json::from_cbor(aPayload, true, false);
+  const auto value = DecodeCbor(aPayload).value_or(json());
   if (!value.is_array() || value.empty()) {
     return;
   }
--- a/modules/limits/limit_messages.cpp
+++ b/modules/limits/limit_messages.cpp
@@ -1,5 +1,6 @@
 #include "modules/limits/limit_messages.h"
 
+#include "core/cbor.h"
 #include <algorithm>
 
 #include <nlohmann/json.hpp>
@@ -26,8 +27,7 @@
 result<T>
 Decode(std::string_view aPayload, F aDecoder)
 {
-  const auto value =
-    json::from_cbor(aPayload.begin(), aPayload.end(), true, false);
+  const auto value = DecodeCbor(aPayload).value_or(json());
   if (!value.is_object() || value.value("v", json()) != kMessageVersion) {
     return Fail(errc::MessageMalformed);
   }
--- a/modules/limits/unit_table.cpp
+++ b/modules/limits/unit_table.cpp
@@ -1,5 +1,6 @@
 #include "modules/limits/unit_table.h"
 
+#include "core/cbor.h"
 #include "core/check.h"
 #include "modules/limits/limit_constants.h"
 
@@ -52,7 +53,7 @@
 result<unit_table>
 unit_table::Parse(std::string_view aValue)
 {
-  const auto value = json::from_cbor(aValue.begin(), aValue.end(), true, false);
+  const auto value = DecodeCbor(aValue).value_or(json());
   if (!value.is_object() || value.value("v", json()) != kTableVersion) {
     return Fail(errc::MessageMalformed);
   }
--- a/modules/outcomes/outcome_messages.cpp
+++ b/modules/outcomes/outcome_messages.cpp
@@ -36,9 +36,9 @@
                            aRequest.mAttempt.mFingerprint,
                            aRequest.mAttempt.mId,
                            0 };
-  return ToCbor(json{ { "c", EntryToJson(entry) },
-                      { "d", aRequest.mDeadline.count() },
-                      { "w", aRequest.mWait.count() } });
+  return EncodeCbor(json{ { "c", EntryToJson(entry) },
+                          { "d", aRequest.mDeadline.count() },
+                          { "w", aRequest.mWait.count() } });
 }
 
 result<claim_message>
@@ -66,7 +66,7 @@
   if (aReply.mStatus == claim_status::Finished) {
     value["o"] = EntryToJson(finish_entry{ {}, 0, 0, aReply.mOutcome });
   }
-  return ToCbor(value);
+  return EncodeCbor(value);
 }
 
 result<claim_reply>
@@ -96,9 +96,9 @@
   for (const auto& entry : aRequest.mEntries) {
     entries.push_back(EntryToJson(entry));
   }
-  return ToCbor(json{ { "s", aRequest.mShard },
-                      { "w", aRequest.mWait.count() },
-                      { "e", std::move(entries) } });
+  return EncodeCbor(json{ { "s", aRequest.mShard },
+                          { "w", aRequest.mWait.count() },
+                          { "e", std::move(entries) } });
 }
 
 result<report_request>
@@ -123,7 +123,7 @@
 std::string
 EncodeReportStatus(report_status aStatus)
 {
-  return ToCbor(json{ { "s", static_cast<int>(aStatus) } });
+  return EncodeCbor(json{ { "s", static_cast<int>(aStatus) } });
 }
 
 result<report_status>
--- a/modules/outcomes/segment_format.cpp
+++ b/modules/outcomes/segment_format.cpp
@@ -1,5 +1,6 @@
 #include "modules/outcomes/segment_format.h"
 
+#include "core/cbor.h"
 #include "core/check.h"
 
 #include <algorithm>
@@ -106,24 +107,6 @@
     json::binary_t::container_type(aBytes.begin(), aBytes.end()));
 }
 
-std::string
-ToCbor(const json& aValue)
-{
-  std::string bytes;
-  json::to_cbor(aValue, bytes);
-  return bytes;
-}
-
-result<json>
-FromCbor(std::string_view aBytes)
-{
-  auto value = json::from_cbor(aBytes.begin(), aBytes.end(), true, false);
-  if (value.is_discarded()) {
-    return Fail(errc::MessageMalformed);
-  }
-  return value;
-}
-
 json
 EntryToJson(const log_entry& aEntry)
 {
@@ -167,10 +150,10 @@
   for (const auto& entry : aBatch.mEntries) {
     entries.push_back(EntryToJson(entry));
   }
-  return ToCbor(json{ { "v", kFormatVersion },
-                      { "c", aBatch.mCommitId },
-                      { "t", aBatch.mTime },
-                      { "e", std::move(entries) } });
+  return EncodeCbor(json{ { "v", kFormatVersion },
+                          { "c", aBatch.mCommitId },
+                          { "t", aBatch.mTime },
+                          { "e", std::move(entries) } });
 }
 
 result<log_batch>
@@ -195,12 +178,12 @@
 std::string
 EncodeShardHead(const log_head& aHead)
 {
-  return ToCbor(json{ { "v", kFormatVersion },
-                      { "f", aHead.mFirst },
-                      { "n", aHead.mNext },
-                      { "d", aHead.mRemovedBelow },
-                      { "s", aHead.mSkipped },
-                      { "b", BatchesToJson(aHead.mBatches) } });
+  return EncodeCbor(json{ { "v", kFormatVersion },
+                          { "f", aHead.mFirst },
+                          { "n", aHead.mNext },
+                          { "d", aHead.mRemovedBelow },
+                          { "s", aHead.mSkipped },
+                          { "b", BatchesToJson(aHead.mBatches) } });
 }
 
 result<log_head>
@@ -223,7 +206,7 @@
 std::string
 EncodeSegment(const std::vector<std::string>& aBatches)
 {
-  return ToCbor(
+  return EncodeCbor(
     json{ { "v", kFormatVersion }, { "b", BatchesToJson(aBatches) } });
 }
 
--- a/modules/outcomes/segment_format.h
+++ b/modules/outcomes/segment_format.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/cbor.h"
 #include "core/result.h"
 #include "core/time.h"
 #include "modules/outcomes/outcomes.h"
@@ -90,11 +91,6 @@
 
 nlohmann::json
 BytesToJson(std::string_view aBytes);
-std::string
-ToCbor(const nlohmann::json& aValue);
-result<nlohmann::json>
-FromCbor(std::string_view aBytes);
-
 /// Runs a parser that returns a result over a CBOR value. Missing fields and
 /// wrong types become errc::MessageMalformed.
 template<typename F>
@@ -102,7 +98,7 @@
 ParseCbor(std::string_view aBytes, F aParse)
   -> std::invoke_result_t<F, const nlohmann::json&>
 {
-  const auto value = FromCbor(aBytes);
+  const auto value = DecodeCbor(aBytes);
   if (!value) {
     return Fail(value.error());
   }
--- a/tests/configuration/test_codec.cpp
+++ b/tests/configuration/test_codec.cpp
@@ -1,9 +1,10 @@
 // Before CppUTest, whose macro for "new" breaks placement new.
 #include <rapidcheck.h>
 
+#include "core/cbor.h"
 #include "core/random.h"
-#include "modules/configuration/cbor.h"
 #include "modules/configuration/configuration.h"
+#include "modules/configuration/field_reader.h"
 #include "tests/configuration/generated_content.h"
 #include "tests/story.h"
 
@@ -250,7 +251,7 @@
     for (const char opener :
          { '\x81', '\x9f', '\xa1', '\xbf', '\x5f', '\x7f', '\xc1', '\xd8' }) {
       CHECK_FALSE(
-        DecodeBoundedCbor(std::string(kLargestChunkBytes, opener)).has_value());
+        DecodeCbor(std::string(kLargestChunkBytes, opener)).has_value());
     }
   }
   SECTION("lengths beyond the input")
@@ -259,7 +260,7 @@
          { std::string("\x9b\xff\xff\xff\xff\xff\xff\xff\xff"),
            std::string("\xbb\x7f\xff\xff\xff\xff\xff\xff\xff"),
            std::string("\x5b\xff\xff\xff\xff\xff\xff\xff\xff") }) {
-      CHECK_FALSE(DecodeBoundedCbor(bytes).has_value());
+      CHECK_FALSE(DecodeCbor(bytes).has_value());
       CHECK_FALSE(DecodeHead(bytes).has_value());
     }
   }
@@ -268,12 +269,11 @@
 // Guards against another format version that is read as this one.
 TEST(codec, AnotherFormatVersionIsAnError)
 {
-  CHECK(DecodeOne(EncodeBoundedCbor({ 1, 0, nlohmann::json::array() }))
-          .has_value());
-  CHECK_FALSE(DecodeOne(EncodeBoundedCbor({ 2, 0, nlohmann::json::array() }))
-                .has_value());
-  CHECK_FALSE(DecodeOne(EncodeBoundedCbor({ 1, 3, nlohmann::json::array() }))
-                .has_value());
+  CHECK(DecodeOne(EncodeCbor({ 1, 0, nlohmann::json::array() })).has_value());
+  CHECK_FALSE(
+    DecodeOne(EncodeCbor({ 2, 0, nlohmann::json::array() })).has_value());
+  CHECK_FALSE(
+    DecodeOne(EncodeCbor({ 1, 3, nlohmann::json::array() })).has_value());
 }
 
 // Guards against entries that contradict each other across chunks.
--- a/tests/core/test_cbor.cpp
+++ b/tests/core/test_cbor.cpp
@@ -21,6 +21,10 @@
   {
     CHECK(!DecodeCbor(std::string(1'000'000, '\x81')).has_value());
   }
+  SECTION("nested strings of indefinite length")
+  {
+    CHECK(!DecodeCbor(std::string(512UL * 1024, '\x7f')).has_value());
+  }
   SECTION("truncated, trailing and empty input")
   {
     const auto bytes = EncodeCbor({ { "a", { 1, 2, 3 } } });
--- a/tests/fakes/simulated_fleet.cpp
+++ b/tests/fakes/membership_fleet.cpp
@@ -1,8 +1,8 @@
-#include "tests/fakes/simulated_fleet.h"
+#include "tests/fakes/membership_fleet.h"
 
 namespace cowslipline::testing {
 
-simulated_fleet::simulated_fleet(std::size_t aCount, std::uint64_t aSeed)
+membership_fleet::membership_fleet(std::size_t aCount, std::uint64_t aSeed)
   : mNetwork(mClock, aSeed)
   , mSeed(aSeed)
 {
@@ -12,7 +12,7 @@
   }
 }
 
-simulated_fleet::~simulated_fleet()
+membership_fleet::~membership_fleet()
 {
   for (std::size_t i = 0; i < mInstances.size(); ++i) {
     Kill(i);
@@ -20,13 +20,13 @@
 }
 
 std::string
-simulated_fleet::NameOf(std::size_t aIndex)
+membership_fleet::NameOf(std::size_t aIndex)
 {
   return "entry-" + std::to_string(aIndex);
 }
 
 simulated_instance
-simulated_fleet::Create(std::size_t aIndex)
+membership_fleet::Create(std::size_t aIndex)
 {
   simulated_instance instance;
   const auto seed = mSeed * 1000 + aIndex + mBoot;
@@ -61,7 +61,7 @@
 }
 
 void
-simulated_fleet::Kill(std::size_t aIndex)
+membership_fleet::Kill(std::size_t aIndex)
 {
   auto& instance = mInstances[aIndex];
   if (instance.mMembership) {
@@ -73,7 +73,7 @@
 }
 
 void
-simulated_fleet::Restart(std::size_t aIndex)
+membership_fleet::Restart(std::size_t aIndex)
 {
   Kill(aIndex);
   ++mBoot;
@@ -81,7 +81,7 @@
 }
 
 void
-simulated_fleet::Publish(std::uint64_t aVersion)
+membership_fleet::Publish(std::uint64_t aVersion)
 {
   const auto chunk = "chunk-" + std::to_string(aVersion);
   mContent->mValues["config/chunk/" + chunk] = { chunk, 1 };
@@ -90,7 +90,7 @@
 }
 
 std::size_t
-simulated_fleet::CountInForce(std::uint64_t aVersion) const
+membership_fleet::CountInForce(std::uint64_t aVersion) const
 {
   std::size_t count = 0;
   for (const auto& instance : mInstances) {
--- a/tests/fakes/simulated_fleet.h
+++ b/tests/fakes/membership_fleet.h
@@ -23,11 +23,11 @@
 };
 
 /// Membership and configuration of several instances in simulated time.
-class simulated_fleet
+class membership_fleet
 {
 public:
-  explicit simulated_fleet(std::size_t aCount, std::uint64_t aSeed = 1);
-  ~simulated_fleet();
+  explicit membership_fleet(std::size_t aCount, std::uint64_t aSeed = 1);
+  ~membership_fleet();
 
   static std::string NameOf(std::size_t aIndex);
   simulated_instance& operator[](std::size_t aIndex)
--- a/tests/fleet/test_configuration_distributor.cpp
+++ b/tests/fleet/test_configuration_distributor.cpp
@@ -1,4 +1,4 @@
-#include "tests/fakes/simulated_fleet.h"
+#include "tests/fakes/membership_fleet.h"
 #include "tests/story.h"
 
 using namespace cowslipline;
@@ -19,7 +19,7 @@
 TEST(configuration_distributor,
      PublicationIsInForceEverywhereWithinThreeSeconds)
 {
-  simulated_fleet fleet(40);
+  membership_fleet fleet(40);
   fleet.mNetwork.SetLoss(0.1);
   fleet.Publish(1);
   fleet.mClock.Advance(15s);
@@ -35,7 +35,7 @@
 // while the store is away for hours.
 TEST(configuration_distributor, StartsFromPeersWhileTheStoreIsAway)
 {
-  simulated_fleet fleet(10);
+  membership_fleet fleet(10);
   fleet.Publish(1);
   fleet.mClock.Advance(10s);
   fleet.Publish(2);
@@ -68,7 +68,7 @@
 // force must not go back.
 TEST(configuration_distributor, NeverGoesBack)
 {
-  simulated_fleet fleet(5);
+  membership_fleet fleet(5);
   fleet.Publish(7);
   fleet.mClock.Advance(10s);
   fleet.Publish(6);
@@ -80,14 +80,16 @@
 // news.
 TEST(configuration_distributor, IsolatedInstancesSaySo)
 {
-  simulated_fleet fleet(9);
+  membership_fleet fleet(9);
   fleet.Publish(1);
   fleet.mClock.Advance(15s);
   const auto cut = [&](std::size_t aLeft, std::size_t aRight, bool aIsCut) {
-    fleet.mNetwork.SetCut(
-      simulated_fleet::NameOf(aLeft), simulated_fleet::NameOf(aRight), aIsCut);
-    fleet.mNetwork.SetCut(
-      simulated_fleet::NameOf(aRight), simulated_fleet::NameOf(aLeft), aIsCut);
+    fleet.mNetwork.SetCut(membership_fleet::NameOf(aLeft),
+                          membership_fleet::NameOf(aRight),
+                          aIsCut);
+    fleet.mNetwork.SetCut(membership_fleet::NameOf(aRight),
+                          membership_fleet::NameOf(aLeft),
+                          aIsCut);
   };
   SECTION("an instance without peers and store refuses after 10 s")
   {
@@ -123,7 +125,7 @@
 // whole fleet is under 50 a second when idle.
 TEST(configuration_distributor, FewInstancesCallTheStore)
 {
-  simulated_fleet fleet(40);
+  membership_fleet fleet(40);
   fleet.Publish(1);
   fleet.mClock.Advance(15s);
   const auto count = [&] {
--- a/tests/fleet/test_membership.cpp
+++ b/tests/fleet/test_membership.cpp
@@ -1,4 +1,4 @@
-#include "tests/fakes/simulated_fleet.h"
+#include "tests/fakes/membership_fleet.h"
 #include "tests/story.h"
 
 using namespace cowslipline;
@@ -8,10 +8,10 @@
 namespace {
 
 bool
-IsLiveAt(simulated_fleet& aFleet, std::size_t aViewer, std::size_t aMember)
+IsLiveAt(membership_fleet& aFleet, std::size_t aViewer, std::size_t aMember)
 {
   for (const auto& live : aFleet[aViewer].mMembership->LiveMembers()) {
-    if (live.mName == simulated_fleet::NameOf(aMember)) {
+    if (live.mName == membership_fleet::NameOf(aMember)) {
       return true;
     }
   }
@@ -19,7 +19,7 @@
 }
 
 std::size_t
-CountViewers(simulated_fleet& aFleet, std::size_t aMember)
+CountViewers(membership_fleet& aFleet, std::size_t aMember)
 {
   std::size_t count = 0;
   for (std::size_t i = 0; i < aFleet.Size(); ++i) {
@@ -37,7 +37,7 @@
 // are left out because their news travels slowly.
 TEST(membership, FollowsDeathsAndReturns)
 {
-  simulated_fleet fleet(40);
+  membership_fleet fleet(40);
   fleet.Publish(1);
   fleet.mClock.Advance(15s);
   SECTION("in calm everybody sees everybody, and all compute the same owners")
@@ -73,12 +73,12 @@
 // path is cut: the others still carry its news.
 TEST(membership, SurvivesOneWayCutsAndLoss)
 {
-  simulated_fleet fleet(12);
+  membership_fleet fleet(12);
   fleet.mNetwork.SetLoss(0.1);
   fleet.mClock.Advance(10s);
   for (std::size_t i = 0; i < 6; ++i) {
     fleet.mNetwork.SetCut(
-      simulated_fleet::NameOf(0), simulated_fleet::NameOf(i), true);
+      membership_fleet::NameOf(0), membership_fleet::NameOf(i), true);
   }
   fleet.mClock.Advance(30s);
   LONGS_EQUAL(11, CountViewers(fleet, 0));
@@ -88,12 +88,12 @@
 // owner of its shards, or never comes back.
 TEST(membership, LeavesOutAPausedInstance)
 {
-  simulated_fleet fleet(12);
+  membership_fleet fleet(12);
   fleet.mClock.Advance(10s);
-  fleet.mNetwork.SetPaused(simulated_fleet::NameOf(3), true);
+  fleet.mNetwork.SetPaused(membership_fleet::NameOf(3), true);
   fleet.mClock.Advance(25s);
   LONGS_EQUAL(0, CountViewers(fleet, 3));
-  fleet.mNetwork.SetPaused(simulated_fleet::NameOf(3), false);
+  fleet.mNetwork.SetPaused(membership_fleet::NameOf(3), false);
   fleet.mClock.Advance(15s);
   LONGS_EQUAL(11, CountViewers(fleet, 3));
 }
@@ -103,12 +103,12 @@
 TEST(membership, DigestsStayBoundedWithTheFleet)
 {
   for (const std::size_t count : { 10, 40, 160 }) {
-    simulated_fleet fleet(count);
+    membership_fleet fleet(count);
     fleet.Publish(1);
     fleet.mClock.Advance(20s);
-    const auto before = fleet.mNetwork.SentBy(simulated_fleet::NameOf(1));
+    const auto before = fleet.mNetwork.SentBy(membership_fleet::NameOf(1));
     fleet.mClock.Advance(20s);
-    const auto after = fleet.mNetwork.SentBy(simulated_fleet::NameOf(1));
+    const auto after = fleet.mNetwork.SentBy(membership_fleet::NameOf(1));
     const auto bytesPerSecond =
       (after.mPayloadBytes - before.mPayloadBytes) / 20;
     CHECK(bytesPerSecond < 4000);
