--- a/modules/gateway/refusal.cpp
+++ b/modules/gateway/refusal.cpp
@@ -36,11 +36,18 @@
   if (description.mStatus == 401) {
     answer.mHeaders.Add("WWW-Authenticate", "Bearer");
   }
-  const nlohmann::ordered_json body = { { "error",
-                                          { { "reason", description.mName },
-                                            { "ran", NameOf(aRefusal.mRan) },
-                                            { "message", MessageOf(aRefusal) },
-                                            { "request_id", aRequestId } } } };
+  std::string message(MessageOf(aRefusal));
+  nlohmann::ordered_json error = {
+    { "reason", description.mName },
+    { "ran", NameOf(aRefusal.mRan) },
+  };
+  if (aRefusal.mIsEarlierAttemptUnknown) {
+    message += " If you sent it before, that attempt may have run.";
+    error["earlier_attempt"] = NameOf(ran_state::Unknown);
+  }
+  error["message"] = message;
+  error["request_id"] = aRequestId;
+  const nlohmann::ordered_json body = { { "error", std::move(error) } };
   answer.mText = body.dump();
   return answer;
 }
--- a/modules/gateway/refusal.h
+++ b/modules/gateway/refusal.h
@@ -13,6 +13,9 @@
 {
   refusal_reason mReason;
   ran_state mRan;
+  /// The request has an idempotency key whose record was not read: it did not
+  /// run now, but an earlier attempt with the key may have.
+  bool mIsEarlierAttemptUnknown = false;
 
   /// With the ran state of the reason's table row.
   explicit refusal(refusal_reason aReason)
--- a/modules/gateway/request_pipeline.cpp
+++ b/modules/gateway/request_pipeline.cpp
@@ -266,6 +266,9 @@
     refused = refusal(refusal_reason::Overloaded, context.Ran());
   }
   if (refused) {
+    refused->mIsEarlierAttemptUnknown =
+      refused->mRan == ran_state::NotRun && !context.mTicket &&
+      context.Head().mHeaders.Find("Idempotency-Key").has_value();
     answer = MakeRefusalAnswer(*refused, context.mRequestId);
   }
   answer.mCloses = context.mIsDraining;
--- a/standins/demo_driver/traffic.cpp
+++ b/standins/demo_driver/traffic.cpp
@@ -210,11 +210,11 @@
 } // namespace
 
 void
-traffic_report::AddAnswer(double aSeconds, bool isQuery)
+traffic_report::AddAnswer(double aSeconds, bool aIsQuery)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
   ++mAnswered;
-  if (isQuery) {
+  if (aIsQuery) {
     mQueries.push_back(aSeconds);
   }
 }
--- a/standins/demo_driver/traffic.h
+++ b/standins/demo_driver/traffic.h
@@ -37,7 +37,7 @@
 class traffic_report
 {
 public:
-  void AddAnswer(double aSeconds, bool isQuery);
+  void AddAnswer(double aSeconds, bool aIsQuery);
   void AddDirect(double aSeconds);
   void AddRefusal(const std::string& aReason);
   void AddCut(const std::string& aWhat);
--- a/tests/gateway/test_pipeline.cpp
+++ b/tests/gateway/test_pipeline.cpp
@@ -139,6 +139,34 @@
   }
 }
 
+// Guards against "not run" about a deposit of which an earlier attempt ran:
+// before its record is read nobody knows (P7).
+TEST(pipeline, RefusalsBeforeTheRecordSpeakOfThisAttemptOnly)
+{
+  scripted_upstream upstream;
+  gateway_fixture fixture({ upstream.Port() });
+  constexpr std::string_view kKey = "Idempotency-Key: a\r\n";
+  const auto speaksOfEarlier = [&](std::string_view aPath,
+                                   std::string_view aHeaders) {
+    const auto answer = fixture.Call("POST", aPath, "glass", aHeaders);
+    STRCMP_EQUAL("not_run", answer.Header("Cowslipline-Ran").c_str());
+    return answer.mBody.find("\"earlier_attempt\":\"unknown\"") !=
+           std::string::npos;
+  };
+  SECTION("an order whose record cannot be read")
+  {
+    fixture.mDecisions.mIsStoreAway = true;
+    CHECK(speaksOfEarlier("/order", kKey));
+    fixture.mDecisions.mIsStoreAway = false;
+  }
+  SECTION("an order that is refused before its record")
+  {
+    fixture.mDecisions.mAdmits = false;
+    CHECK(speaksOfEarlier("/order", kKey));
+    CHECK(!speaksOfEarlier("/order", ""));
+  }
+}
+
 TEST(pipeline, RefusesBeforeItRuns)
 {
   scripted_upstream upstream;
