Fleet: typed membership messages in files of their own

Change: digests, questions and descriptions are structs with encode and decode functions that check each field; the service works with the structs. Tests cover the round trip, wrong types, the port and the age.

--- a/modules/fleet/membership_service.cpp
+++ b/modules/fleet/membership_service.cpp
@@ -1,6 +1,5 @@
 #include "modules/fleet/membership_service.h"
 
-#include "core/cbor.h"
 #include "core/check.h"
 
 #include <algorithm>
@@ -49,12 +48,6 @@
 // The weight of the newest gap is one eighth.
 constexpr int kGapSmoothing = 8;
 
-std::uint32_t
-ShortHash(std::string_view aName)
-{
-  return static_cast<std::uint32_t>(Hash64(aName));
-}
-
 } // namespace
 
 membership_service::membership_service(scheduler& aScheduler,
@@ -68,7 +61,7 @@
   , mRandom(mOptions.mRandomSeed)
   , mLastContact(aScheduler.Now())
 {
-  mNameByHash[ShortHash(mOptions.mSelf.mName)] = mOptions.mSelf.mName;
+  mNameByHash[MemberHash(mOptions.mSelf.mName)] = mOptions.mSelf.mName;
 }
 
 void
@@ -179,8 +172,8 @@
   return chosen;
 }
 
-std::string
-membership_service::EncodeDigest()
+std::vector<membership_service::entry*>
+membership_service::ChooseNews()
 {
   std::vector<entry*> entries;
   for (auto& [name, entry] : mEntries) {
@@ -198,45 +191,37 @@
                       return std::tuple(aLeft->mSentCount, aRight->mChangedAt) <
                              std::tuple(aRight->mSentCount, aLeft->mChangedAt);
                     });
+  entries.resize(count);
+  return entries;
+}
+
+digest_message
+membership_service::MakeDigest()
+{
   const auto& self = mOptions.mSelf;
-  auto rows = nlohmann::json::array();
-  rows.push_back({ ShortHash(self.mName),
-                   self.mBoot,
-                   mHeartbeat,
-                   static_cast<int>(self.mState) });
-  for (std::size_t i = 0; i < count; ++i) {
-    const auto& member = entries[i]->mMember;
-    ++entries[i]->mSentCount;
-    rows.push_back({ ShortHash(member.mName),
-                     member.mBoot,
-                     entries[i]->mHeartbeat,
-                     static_cast<int>(member.mState) });
-  }
-  // The own address goes along, so that a peer that hears of this instance for
-  // the first time can answer.
-  nlohmann::json document = {
-    { "e", std::move(rows) },
-    { "d",
-      { mOptions.mAddress.mAddress,
-        mOptions.mAddress.mPort,
-        self.mAvailabilityZone } },
-  };
+  digest_message message;
+  message.mRows.push_back(
+    { MemberHash(self.mName), self.mBoot, mHeartbeat, self.mState });
+  for (auto* entry : ChooseNews()) {
+    ++entry->mSentCount;
+    const auto& member = entry->mMember;
+    message.mRows.push_back({ MemberHash(member.mName),
+                              member.mBoot,
+                              entry->mHeartbeat,
+                              member.mState });
+  }
+  message.mSenderAddress = mOptions.mAddress;
+  message.mSenderZone = self.mAvailabilityZone;
   if (mExtraSource) {
-    const auto extra = mExtraSource();
-    document["c"] = extra.mConfigurationVersion;
-    if (extra.mConfirmationAge) {
-      document["a"] = std::chrono::duration_cast<std::chrono::milliseconds>(
-                        *extra.mConfirmationAge)
-                        .count();
-    }
+    message.mExtra = mExtraSource();
   }
-  return EncodeCbor(document);
+  return message;
 }
 
 void
 membership_service::SendDigest(const instance_name& aTo)
 {
-  mChannel->Send(aTo, kDigestService, EncodeDigest());
+  mChannel->Send(aTo, kDigestService, EncodeDigest(MakeDigest()));
 }
 
 result<std::string>
@@ -244,72 +229,39 @@
                              std::string_view aPayload,
                              yield_context aYield)
 {
-  const auto decoded = DecodeCbor(aPayload);
-  COWSLIPLINE_PROPAGATE(decoded);
-  const auto& document = *decoded;
-  if (!document.is_object() || !document.contains("e") ||
-      !document["e"].is_array()) {
-    return Fail(errc::MessageMalformed);
-  }
+  const auto digest = DecodeDigest(aPayload);
+  COWSLIPLINE_PROPAGATE(digest);
   mLastContact = mScheduler.Now();
-  if (ApplySender(aFrom, document)) {
+  if (ApplySender(aFrom, *digest)) {
     SendDigest(aFrom);
   }
   std::vector<std::uint32_t> unknown;
-  for (const auto& row : document["e"]) {
-    if (!row.is_array() || row.size() < 4 ||
-        !std::all_of(row.begin(), row.end(), [](const auto& aField) {
-          return aField.is_number_unsigned();
-        })) {
-      return Fail(errc::MessageMalformed);
-    }
-    const auto hash = row[0].get<std::uint32_t>();
-    const auto name = mNameByHash.find(hash);
+  for (const auto& row : digest->mRows) {
+    const auto name = mNameByHash.find(row.mNameHash);
     if (name == mNameByHash.end()) {
-      unknown.push_back(hash);
+      unknown.push_back(row.mNameHash);
     } else if (name->second != mOptions.mSelf.mName) {
-      ApplyHeartbeat(mEntries[name->second],
-                     row[1].get<std::uint64_t>(),
-                     row[2].get<std::uint64_t>(),
-                     row[3] == 0 ? instance_state::Live
-                                 : instance_state::Leaving);
+      ApplyHeartbeat(EntryOf(name->second), row);
     }
   }
-  digest_extra extra;
-  if (document.contains("c") && document["c"].is_number_unsigned()) {
-    extra.mConfigurationVersion = document["c"].get<std::uint64_t>();
-  }
-  if (document.contains("a") && document["a"].is_number_unsigned()) {
-    extra.mConfirmationAge =
-      std::chrono::milliseconds(document["a"].get<std::int64_t>());
-  }
   if (!unknown.empty()) {
     Describe(aFrom, unknown, aYield);
   }
   if (mExtraSink) {
-    mExtraSink(aFrom, extra);
+    mExtraSink(aFrom, digest->mExtra);
   }
   return std::string();
 }
 
 bool
 membership_service::ApplySender(const instance_name& aFrom,
-                                const nlohmann::json& aDigest)
+                                const digest_message& aDigest)
 {
-  if (!aDigest.contains("d")) {
-    return false;
-  }
-  const auto& row = aDigest["d"];
-  if (!row.is_array() || row.size() < 3 || !row[0].is_string() ||
-      !row[1].is_number_unsigned() || !row[2].is_string()) {
-    return false;
-  }
   auto& entry = EntryOf(aFrom);
-  const peer_address address{ row[0].get<std::string>(),
-                              row[1].get<std::uint16_t>() };
+  const auto& address = aDigest.mSenderAddress;
   const bool isNew = entry.mAddress.mAddress != address.mAddress ||
                      entry.mAddress.mPort != address.mPort;
-  entry.mMember.mAvailabilityZone = row[2].get<std::string>();
+  entry.mMember.mAvailabilityZone = aDigest.mSenderZone;
   if (isNew) {
     entry.mAddress = address;
     TellAddress(aFrom, address);
@@ -329,34 +281,27 @@
 result<std::string>
 membership_service::OnDescribe(std::string_view aPayload) const
 {
-  const auto wanted = DecodeCbor(aPayload);
+  const auto wanted = DecodeHashes(aPayload);
   COWSLIPLINE_PROPAGATE(wanted);
-  auto rows = nlohmann::json::array();
-  const auto add = [&rows](const member& aMember,
-                           const peer_address& aAddress) {
-    rows.push_back({ aMember.mName,
-                     aAddress.mAddress,
-                     aAddress.mPort,
-                     aMember.mAvailabilityZone,
-                     aMember.mBoot });
+  std::vector<member_description> members;
+  const auto add = [&members](const member& aMember,
+                              const peer_address& aAddress) {
+    members.push_back(
+      { aMember.mName, aAddress, aMember.mAvailabilityZone, aMember.mBoot });
   };
-  for (const auto& hash : *wanted) {
-    const auto name = hash.is_number_unsigned()
-                        ? mNameByHash.find(hash.get<std::uint32_t>())
-                        : mNameByHash.end();
+  for (const auto hash : *wanted) {
+    const auto name = mNameByHash.find(hash);
     if (name == mNameByHash.end()) {
       continue;
     }
+    const auto found = mEntries.find(name->second);
     if (name->second == mOptions.mSelf.mName) {
       add(mOptions.mSelf, mOptions.mAddress);
-      continue;
-    }
-    const auto found = mEntries.find(name->second);
-    if (found != mEntries.end()) {
+    } else if (found != mEntries.end()) {
       add(found->second.mMember, found->second.mAddress);
     }
   }
-  return EncodeCbor(rows);
+  return EncodeDescriptions(members);
 }
 
 void
@@ -365,30 +310,30 @@
                              yield_context aYield)
 {
   const auto reply = mChannel->Call(
-    aFrom, kDescribeService, EncodeCbor(aUnknown), kDescribeTimeout, aYield);
-  const auto rows = reply ? DecodeCbor(*reply) : Fail(reply.error());
-  if (!rows) {
+    aFrom, kDescribeService, EncodeHashes(aUnknown), kDescribeTimeout, aYield);
+  const auto members = reply ? DecodeDescriptions(*reply) : Fail(reply.error());
+  if (!members) {
     return;
   }
-  for (const auto& row : *rows) {
-    if (!row.is_array() || row.size() < 5 || !row[0].is_string() ||
-        !row[1].is_string() || !row[2].is_number_unsigned() ||
-        !row[3].is_string() || !row[4].is_number_unsigned()) {
-      continue;
-    }
-    const auto name = row[0].get<std::string>();
-    if (name == mOptions.mSelf.mName) {
-      continue;
-    }
-    auto& entry = EntryOf(name);
-    const auto boot = row[4].get<std::uint64_t>();
-    if (boot < entry.mMember.mBoot) {
-      continue;
-    }
-    entry.mAddress = { row[1].get<std::string>(), row[2].get<std::uint16_t>() };
-    entry.mMember.mAvailabilityZone = row[3].get<std::string>();
-    TellAddress(name, entry.mAddress);
+  for (const auto& described : *members) {
+    ApplyDescription(described);
+  }
+}
+
+void
+membership_service::ApplyDescription(const member_description& aDescription)
+{
+  const auto& name = aDescription.mName;
+  if (name == mOptions.mSelf.mName) {
+    return;
+  }
+  auto& entry = EntryOf(name);
+  if (aDescription.mBoot < entry.mMember.mBoot) {
+    return;
   }
+  entry.mAddress = aDescription.mAddress;
+  entry.mMember.mAvailabilityZone = aDescription.mAvailabilityZone;
+  TellAddress(name, entry.mAddress);
 }
 
 membership_service::entry&
@@ -398,20 +343,18 @@
   if (entry.mMember.mName.empty()) {
     entry.mMember.mName = aName;
     entry.mChangedAt = mScheduler.Now();
-    mNameByHash[ShortHash(aName)] = aName;
+    mNameByHash[MemberHash(aName)] = aName;
   }
   return entry;
 }
 
 void
-membership_service::ApplyHeartbeat(entry& aEntry,
-                                   std::uint64_t aBoot,
-                                   std::uint64_t aHeartbeat,
-                                   instance_state aState)
+membership_service::ApplyHeartbeat(entry& aEntry, const heartbeat_row& aRow)
 {
   auto& member = aEntry.mMember;
-  const bool isNewBoot = aBoot > member.mBoot;
-  const bool isNewer = aBoot == member.mBoot && aHeartbeat > aEntry.mHeartbeat;
+  const bool isNewBoot = aRow.mBoot > member.mBoot;
+  const bool isNewer =
+    aRow.mBoot == member.mBoot && aRow.mHeartbeat > aEntry.mHeartbeat;
   if (!isNewBoot && !isNewer) {
     return;
   }
@@ -419,11 +362,11 @@
     aEntry.mNewsGap = kDigestPeriod;
   }
   // Within one boot an instance never goes back from leaving to live.
-  if (isNewBoot || aState == instance_state::Leaving) {
-    member.mState = aState;
+  if (isNewBoot || aRow.mState == instance_state::Leaving) {
+    member.mState = aRow.mState;
   }
-  member.mBoot = aBoot;
-  aEntry.mHeartbeat = aHeartbeat;
+  member.mBoot = aRow.mBoot;
+  aEntry.mHeartbeat = aRow.mHeartbeat;
   NoteNews(aEntry);
 }
 
@@ -597,7 +540,7 @@
       (absent && now - std::max(*absent, heard) > 2 * kForgetAbsent);
     const bool isForgotten = isGone && !entry->second.mIsListed;
     if (isForgotten) {
-      mNameByHash.erase(ShortHash(entry->first));
+      mNameByHash.erase(MemberHash(entry->first));
     }
     entry = isForgotten ? mEntries.erase(entry) : std::next(entry);
   }
--- a/modules/fleet/membership_service.h
+++ b/modules/fleet/membership_service.h
@@ -3,7 +3,7 @@
 #include "core/metrics.h"
 #include "core/random.h"
 #include "modules/fleet/membership.h"
-#include "modules/fleet/websocket_peer_channel.h"
+#include "modules/fleet/membership_messages.h"
 
 #include <functional>
 #include <map>
@@ -11,8 +11,6 @@
 #include <optional>
 #include <vector>
 
-#include <nlohmann/json_fwd.hpp>
-
 namespace cowslipline {
 
 struct membership_options
@@ -23,16 +21,6 @@
   std::uint64_t mRandomSeed = 1;
 };
 
-/// What a digest carries besides heartbeats. Set by the configuration
-/// distributor.
-struct digest_extra
-{
-  std::uint64_t mConfigurationVersion = 0;
-  /// Since the store last confirmed the version, as far as the sender knows;
-  /// empty when it never did.
-  std::optional<duration> mConfirmationAge;
-};
-
 /// Membership by heartbeat digests between peers and by the platform's list.
 /// An instance sends a digest to a few peers at a time, whatever the size of
 /// the fleet; every authentic frame counts as news of its sender.
@@ -101,23 +89,22 @@
 
   void RunDigests(yield_context aYield);
   void SendDigest(const instance_name& aTo);
-  std::string EncodeDigest();
+  digest_message MakeDigest();
+  std::vector<entry*> ChooseNews();
   std::vector<instance_name> ChoosePeers(std::size_t aCount);
   result<std::string> OnDigest(const instance_name& aFrom,
                                std::string_view aPayload,
                                yield_context aYield);
   /// True when the sender's address is news.
-  bool ApplySender(const instance_name& aFrom, const nlohmann::json& aDigest);
+  bool ApplySender(const instance_name& aFrom, const digest_message& aDigest);
   void TellAddress(const instance_name& aName,
                    const peer_address& aAddress) const;
   result<std::string> OnDescribe(std::string_view aPayload) const;
   void Describe(const instance_name& aFrom,
                 const std::vector<std::uint32_t>& aUnknown,
                 yield_context aYield);
-  void ApplyHeartbeat(entry& aEntry,
-                      std::uint64_t aBoot,
-                      std::uint64_t aHeartbeat,
-                      instance_state aState);
+  void ApplyDescription(const member_description& aDescription);
+  void ApplyHeartbeat(entry& aEntry, const heartbeat_row& aRow);
   void NoteNews(entry& aEntry);
   bool IsAlive(const entry& aEntry) const;
   static duration SuspicionOf(const entry& aEntry);
--- a/modules/fleet/websocket_peer_channel.h
+++ b/modules/fleet/websocket_peer_channel.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/metrics.h"
+#include "modules/fleet/peer_address.h"
 #include "modules/fleet/peer_channel.h"
 #include "modules/fleet/peer_frame.h"
 #include "modules/fleet/websocket_transport.h"
@@ -12,12 +13,6 @@
 
 namespace cowslipline {
 
-struct peer_address
-{
-  std::string mAddress; ///< IP address.
-  std::uint16_t mPort = 0;
-};
-
 struct peer_channel_options
 {
   instance_name mName;
