--- a/modules/gateway/buffered_reader.cpp
+++ b/modules/gateway/buffered_reader.cpp
@@ -14,21 +14,8 @@
 constexpr std::size_t kTrailerLines = 100;
 constexpr std::string_view kLineEnd = "\r\n";
 
-read_error
-ErrorOf(io_status aStatus)
-{
-  switch (aStatus) {
-    case io_status::TimedOut:
-      return read_error::TimedOut;
-    case io_status::Canceled:
-      return read_error::Canceled;
-    default:
-      return read_error::Closed;
-  }
-}
-
 std::optional<read_error>
-ErrorOf(append_status aStatus)
+ToReadError(append_status aStatus)
 {
   switch (aStatus) {
     case append_status::OverLimit:
@@ -60,6 +47,19 @@
 
 } // namespace
 
+read_error
+ToReadError(io_status aStatus)
+{
+  switch (aStatus) {
+    case io_status::TimedOut:
+      return read_error::TimedOut;
+    case io_status::Canceled:
+      return read_error::Canceled;
+    default:
+      return read_error::Closed;
+  }
+}
+
 std::string_view
 buffered_reader::Buffered() const
 {
@@ -82,7 +82,7 @@
   std::array<char, kReadBytes> data;
   const auto got = mSocket.Read(data.data(), data.size());
   if (got.mStatus != io_status::Done) {
-    return ErrorOf(got.mStatus);
+    return ToReadError(got.mStatus);
   }
   mBuffer.erase(0, mStart);
   mStart = 0;
@@ -135,7 +135,7 @@
       std::min<std::uint64_t>(aSize, Buffered().size()));
     const auto status = aBody.Append(Buffered().substr(0, count));
     if (status != append_status::Done) {
-      return ErrorOf(status);
+      return ToReadError(status);
     }
     Consume(count);
     aSize -= count;
--- a/modules/gateway/buffered_reader.h
+++ b/modules/gateway/buffered_reader.h
@@ -20,6 +20,10 @@
   Canceled,
 };
 
+/// The error that a failed transfer stands for.
+read_error
+ToReadError(io_status aStatus);
+
 /// Reads heads and bodies from a connection. Bytes after them stay buffered
 /// for the next message.
 class buffered_reader
--- a/modules/gateway/upstream_stream.cpp
+++ b/modules/gateway/upstream_stream.cpp
@@ -12,19 +12,6 @@
 constexpr int kInterimAnswers = 8;
 constexpr std::string_view kStandIn = "HTTP/1.1 204 No Content\r\n\r\n";
 
-read_error
-WriteErrorOf(io_status aStatus)
-{
-  switch (aStatus) {
-    case io_status::TimedOut:
-      return read_error::TimedOut;
-    case io_status::Canceled:
-      return read_error::Canceled;
-    default:
-      return read_error::Closed;
-  }
-}
-
 } // namespace
 
 upstream_stream::upstream_stream(timed_socket& aSocket,
@@ -59,7 +46,7 @@
   const auto written = mSocket.WriteAll(aFirst, aSecond);
   mHasSent = mHasSent || written.mBytes > 0;
   if (written.mStatus != io_status::Done) {
-    mWriteError = WriteErrorOf(written.mStatus);
+    mWriteError = ToReadError(written.mStatus);
   }
 }
 
