--- a/tests/fleet/test_peer_channel.cpp
+++ b/tests/fleet/test_peer_channel.cpp
@@ -3,6 +3,8 @@
 #include "modules/fleet/websocket_peer_channel.h"
 #include "tests/story.h"
 
+#include <optional>
+
 #include <rapidcheck.h>
 
 using namespace cowslipline;
@@ -108,7 +110,7 @@
                   release.Wait(mScheduler, 30s, aYield);
                   return std::string("late");
                 });
-  bool isAnswered = false;
+  std::optional<bool> isAnswered;
   mScheduler.Spawn([&](yield_context aYield) {
     const auto reply = left->Call("right", "wait", "", 30s, aYield);
     isAnswered = reply.has_value();
@@ -126,6 +128,7 @@
       release.Set();
       mScheduler.SleepFor(1ms, aYield);
     }
+    CHECK(*isAnswered);
     LONGS_EQUAL(1, left->LinkCount());
     left->Stop();
     right->Stop();
