--- a/tests/core/test_scheduler.cpp
+++ b/tests/core/test_scheduler.cpp
@@ -39,6 +39,7 @@
     clock.Advance(20ms);
     STRCMP_EQUAL("abc", order.c_str());
   }
+  clock.Advance(1s);
 }
 
 // Guards against a blocked caller that never hears from the control thread.
--- a/tests/fakes/membership_fleet.cpp
+++ b/tests/fakes/membership_fleet.cpp
@@ -2,6 +2,12 @@
 
 namespace cowslipline::testing {
 
+namespace {
+
+constexpr duration kLongestTask = std::chrono::seconds(20);
+
+} // namespace
+
 membership_fleet::membership_fleet(std::size_t aCount, std::uint64_t aSeed)
   : mNetwork(mClock, aSeed)
   , mSeed(aSeed)
@@ -17,6 +23,9 @@
   for (std::size_t i = 0; i < mInstances.size(); ++i) {
     Kill(i);
   }
+  // AddressSanitizer reports the unwinding of a suspended task by mistake, so
+  // all tasks end first.
+  mClock.Advance(kLongestTask);
 }
 
 std::string
--- a/tests/fleet/test_peer_channel.cpp
+++ b/tests/fleet/test_peer_channel.cpp
@@ -55,6 +55,11 @@
       mContext.restart();
       mContext.run_one();
     }
+    // AddressSanitizer reports the unwinding of a suspended task by mistake,
+    // so the tasks that Stop() has woken end while their channels exist.
+    mContext.restart();
+    while (mContext.poll() > 0) {
+    }
   }
 };
 
