--- /dev/null
+++ b/apps/cowslipline-edge/edge_settings.cpp
@@ -0,0 +1,131 @@
+#include "apps/cowslipline-edge/edge_settings.h"
+
+#include <fstream>
+#include <optional>
+#include <sstream>
+
+#include <toml++/toml.h>
+
+namespace cowslipline {
+
+namespace {
+
+/// Reads fields of one table and collects what is wrong.
+class settings_reader
+{
+public:
+  settings_reader(const toml::table& aTable,
+                  std::vector<std::string>& aMistakes)
+    : mTable(aTable)
+    , mMistakes(aMistakes)
+  {
+  }
+
+  std::string Text(const char* aPath)
+  {
+    const auto value = mTable.at_path(aPath).value<std::string>();
+    if (!value || value->empty()) {
+      mMistakes.push_back(std::string(aPath) + ": a text is required");
+    }
+    return value.value_or("");
+  }
+
+  tcp_endpoint Endpoint(const char* aPath)
+  {
+    const auto text = Text(aPath);
+    const auto endpoint = ParseEndpoint(text);
+    if (!endpoint && !text.empty()) {
+      mMistakes.push_back(std::string(aPath) + ": expected IP:PORT, found '" +
+                          text + "'");
+    }
+    return endpoint.value_or(tcp_endpoint());
+  }
+
+  /// A number in the range, or the default when it is absent.
+  double Number(const char* aPath, double aDefault, double aLow, double aHigh)
+  {
+    const auto node = mTable.at_path(aPath);
+    if (!node) {
+      return aDefault;
+    }
+    const auto value = node.value<double>();
+    if (!value || *value < aLow || *value > aHigh) {
+      std::ostringstream text;
+      text << aPath << ": expected a number from " << aLow << " to " << aHigh;
+      mMistakes.push_back(text.str());
+      return aDefault;
+    }
+    return *value;
+  }
+
+  duration Seconds(const char* aPath, duration aDefault)
+  {
+    constexpr double kLongest = 3600;
+    const double seconds = Number(
+      aPath, std::chrono::duration<double>(aDefault).count(), 0.001, kLongest);
+    return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(seconds));
+  }
+
+private:
+  const toml::table& mTable;
+  std::vector<std::string>& mMistakes;
+};
+
+} // namespace
+
+edge_settings
+ParseEdgeSettings(std::string_view aText)
+{
+  edge_settings settings;
+  toml::table table;
+  try {
+    table = toml::parse(aText);
+  } catch (const toml::parse_error& error) {
+    std::ostringstream text;
+    text << "line " << error.source().begin.line << ": "
+         << error.description();
+    settings.mMistakes.push_back(text.str());
+    return settings;
+  }
+  settings_reader reader(table, settings.mMistakes);
+  auto& proxy = settings.mProxy;
+  proxy.mInstance = reader.Text("instance");
+  proxy.mAvailabilityZone = reader.Text("availability_zone");
+  proxy.mCallers = reader.Endpoint("listen.callers");
+  proxy.mReadiness = reader.Endpoint("listen.readiness");
+  proxy.mMetrics = reader.Endpoint("listen.metrics");
+  const auto peers = reader.Endpoint("listen.peers");
+  proxy.mPeers = { peers.address(), peers.port() };
+  proxy.mStore = reader.Endpoint("store.address");
+  proxy.mGrace = reader.Seconds("bounds.grace_seconds", proxy.mGrace);
+  auto& bounds = proxy.mBounds;
+  bounds.mRevocation =
+    reader.Seconds("bounds.revocation_seconds", bounds.mRevocation);
+  bounds.mFloorShare =
+    reader.Number("bounds.floor_share", bounds.mFloorShare, 0, 1);
+  bounds.mRetryRatio =
+    reader.Number("bounds.retry_ratio", bounds.mRetryRatio, 0, 10);
+  bounds.mRetryExtra =
+    reader.Number("bounds.retry_extra", bounds.mRetryExtra, 0, 1e6);
+  constexpr double kMebibyte = 1024.0 * 1024;
+  constexpr double kBufferedPart = 0.25;
+  const double memory = reader.Number("limits.memory_mb", 256, 16, 1e6);
+  proxy.mBufferedBytes =
+    static_cast<std::size_t>(memory * kMebibyte * kBufferedPart);
+  return settings;
+}
+
+std::optional<std::string>
+ReadSettingsFile(const std::string& aPath)
+{
+  const std::ifstream file(aPath);
+  if (!file) {
+    return std::nullopt;
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+} // namespace cowslipline
--- /dev/null
+++ b/apps/cowslipline-edge/main.cpp
@@ -0,0 +1,159 @@
+#include "apps/cowslipline-edge/edge_settings.h"
+#include "core/log.h"
+#include "modules/proxy/proxy.h"
+#include "platform/header_names.h"
+#include "platform/store_feed.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <random>
+
+#include <asio/signal_set.hpp>
+#include <docopt/docopt.h>
+
+using namespace cowslipline;
+
+namespace {
+
+constexpr char kUsage[] =
+  R"(cowslipline-edge: one instance of the proxy fleet on the platform.
+
+Usage:
+  cowslipline-edge [--settings FILE] [--check]
+  cowslipline-edge (-h | --help)
+  cowslipline-edge --version
+
+Options:
+  --settings FILE  Settings of this instance in TOML, see docs/platform.md. The
+                   variable COWSLIPLINE_CONFIG names the file otherwise.
+  --check          Check the settings and end.
+  -h --help        Show this text.
+  --version        Show the version.
+
+SIGTERM and SIGINT end the instance gracefully, SIGHUP reads the settings again.
+
+Exit codes:
+  0  ended gracefully, or the settings are correct
+  1  cannot start, for example because an address is taken
+  2  the settings are wrong
+  3  requests were cut because the grace time was over
+)";
+
+constexpr int kExitCannotStart = 1;
+constexpr int kExitSettings = 2;
+constexpr int kExitCut = 3;
+
+std::string
+SettingsPath(const std::map<std::string, docopt::value>& aOptions)
+{
+  const auto& given = aOptions.at("--settings");
+  if (given) {
+    return given.asString();
+  }
+  const char* variable = std::getenv("COWSLIPLINE_CONFIG");
+  return variable == nullptr ? "" : variable;
+}
+
+/// Logs what a changed settings file says. Addresses and bounds are fixed for
+/// the life of a process: the platform restarts it to change them.
+void
+CheckAgain(const std::string& aPath)
+{
+  const auto text = ReadSettingsFile(aPath);
+  const auto settings =
+    text ? ParseEdgeSettings(*text) : edge_settings{ {}, { "unreadable" } };
+  if (settings.mMistakes.empty()) {
+    Log(log_level::Info, "settings_read", { { "file", aPath } });
+    return;
+  }
+  for (const auto& mistake : settings.mMistakes) {
+    Log(log_level::Warn, "settings_wrong", { { "mistake", mistake } });
+  }
+}
+
+void
+WatchSignals(asio::signal_set& aSignals,
+             const std::string& aPath,
+             std::function<void()> aLeave)
+{
+  aSignals.async_wait([&aSignals, aPath, leave = std::move(aLeave)](
+                        const asio::error_code& aError, int aSignal) {
+    if (aError) {
+      return;
+    }
+    if (aSignal == SIGHUP) {
+      CheckAgain(aPath);
+      WatchSignals(aSignals, aPath, leave);
+      return;
+    }
+    leave();
+  });
+}
+
+int
+Run(const proxy_settings& aSettings, const std::string& aPath)
+{
+  asio::io_context context(1);
+  system_scheduler scheduler(context);
+  store_feed feed(context, aSettings.mStore);
+  std::random_device device;
+  const auto seed = (std::uint64_t{ device() } << 32) | device();
+  auto instance = proxy_instance::Create(
+    scheduler, aSettings, PlatformHeaders(), feed, seed);
+  if (!instance) {
+    Log(log_level::Error,
+        "start_failed",
+        { { "message", instance.error().message() } });
+    return kExitCannotStart;
+  }
+  Log(log_level::Info,
+      "started",
+      { { "version", COWSLIPLINE_VERSION },
+        { "zone", aSettings.mAvailabilityZone } });
+  (*instance)->Start();
+  int exitCode = 0;
+  asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
+  WatchSignals(signals, aPath, [&] {
+    scheduler.Spawn([&](yield_context aYield) {
+      exitCode = (*instance)->Leave(aYield) ? 0 : kExitCut;
+      context.stop();
+    });
+  });
+  context.run();
+  // Tasks that still wait hold references to the instance: the process ends
+  // without unwinding them.
+  std::cout.flush();
+  std::_Exit(exitCode);
+}
+
+} // namespace
+
+int
+main(int aArgumentCount, char** aArguments)
+{
+  const auto options =
+    docopt::docopt(kUsage,
+                   { aArguments + 1, aArguments + aArgumentCount },
+                   true,
+                   "cowslipline-edge " COWSLIPLINE_VERSION);
+  const auto path = SettingsPath(options);
+  const auto text = ReadSettingsFile(path);
+  if (!text) {
+    std::cerr << "cannot read the settings file '" << path << "'\n";
+    return kExitSettings;
+  }
+  const auto settings = ParseEdgeSettings(*text);
+  if (!settings.mMistakes.empty()) {
+    for (const auto& mistake : settings.mMistakes) {
+      std::cerr << path << ": " << mistake << '\n';
+    }
+    return kExitSettings;
+  }
+  if (options.at("--check").asBool()) {
+    return 0;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  ConfigureLog(log_level::Info, settings.mProxy.mInstance, log_stream::Output);
+  return Run(settings.mProxy, path);
+}
--- a/core/error.cpp
+++ b/core/error.cpp
@@ -56,6 +56,10 @@
         return "already present";
       case errc::InputOutput:
         return "input or output failed";
+      case errc::TooLarge:
+        return "message exceeds its size limit";
+      case errc::HistoryLost:
+        return "the store has discarded the history asked for";
     }
     return "unknown error";
   }
--- a/core/error.h
+++ b/core/error.h
@@ -29,6 +29,8 @@
   ServiceMissing,
   Duplicate,
   InputOutput,
+  TooLarge,
+  HistoryLost,
 };
 
 /// The category "cowslipline"; messages are short English phrases.
--- a/modules/gateway/http_head.cpp
+++ b/core/http_head.cpp
@@ -1,4 +1,4 @@
-#include "modules/gateway/http_head.h"
+#include "core/http_head.h"
 
 #include <algorithm>
 #include <cctype>
--- a/core/log.cpp
+++ b/core/log.cpp
@@ -88,12 +88,14 @@
 } // namespace
 
 void
-ConfigureLog(log_level aLevel, std::string_view aInstance)
+ConfigureLog(log_level aLevel,
+             std::string_view aInstance,
+             log_stream aStream)
 {
   auto& state = State();
   const std::lock_guard<std::mutex> lock(state.mMutex);
   log4cplus::SharedAppenderPtr appender(
-    new log4cplus::ConsoleAppender(true, true));
+    new log4cplus::ConsoleAppender(aStream == log_stream::Error, true));
   appender->setLayout(
     std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_TEXT("%m%n")));
   auto logger = log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("cowslipline"));
--- a/core/log.h
+++ b/core/log.h
@@ -17,10 +17,18 @@
 
 using log_field = std::pair<std::string_view, std::string>;
 
-/// Sends log lines to standard error from the given level on. Without this
-/// call nothing is written, so tests stay quiet.
+enum class log_stream
+{
+  Output,
+  Error,
+};
+
+/// Sends log lines to standard error, or to standard output, from the given
+/// level on. Without this call nothing is written, so tests stay quiet.
 void
-ConfigureLog(log_level aLevel, std::string_view aInstance);
+ConfigureLog(log_level aLevel,
+             std::string_view aInstance,
+             log_stream aStream = log_stream::Error);
 
 /// Writes one JSON line with time, level, event, instance and the fields.
 /// At most 200 lines a second are written; the next line after a flood carries
--- a/modules/gateway/caller_exchange.h
+++ b/modules/gateway/caller_exchange.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "modules/gateway/buffered_reader.h"
-#include "modules/gateway/http_head.h"
+#include "core/http_head.h"
 
 namespace cowslipline {
 
--- a/modules/gateway/header_hygiene.h
+++ b/modules/gateway/header_hygiene.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "modules/gateway/http_head.h"
+#include "core/http_head.h"
 
 #include <string>
 #include <string_view>
--- /dev/null
+++ b/modules/placement/target_evidence.cpp
@@ -0,0 +1,164 @@
+#include "modules/placement/target_evidence.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cowslipline {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Gray failures last for seconds; evidence older than a few of these no longer
+// speaks about the present.
+constexpr duration kHalfLife = 2s;
+
+// First avoidance after a failure. Four to eight requests of an availability
+// zone go elsewhere meanwhile.
+constexpr duration kFirstAvoidance = 1s;
+
+// Each failed trial doubles the avoidance up to this, the usual length of a
+// gray failure's rest.
+constexpr duration kLongestAvoidance = 4s;
+
+// A target that refuses connections is down until it has started again.
+constexpr duration kUnreachableAvoidance = 1s;
+
+// The time in which a full target works off a part of its queue.
+constexpr duration kFullTime = 250ms;
+
+// One request in a hundred fails at sound targets; two failures that make up
+// this share of the recent outcomes are a fault of the target.
+constexpr double kFailuresOfFault = 1.6;
+constexpr double kShareOfFault = 0.35;
+
+constexpr duration kForgetAfter = 60s;
+
+} // namespace
+
+void
+target_evidence::Decay(record& aRecord, steady_time aNow)
+{
+  const auto passed = aNow - aRecord.mUpdated;
+  if (passed > duration(0)) {
+    const double factor =
+      std::exp2(-std::chrono::duration<double>(passed).count() /
+                std::chrono::duration<double>(kHalfLife).count());
+    aRecord.mFailures *= factor;
+    aRecord.mSuccesses *= factor;
+    aRecord.mUpdated = aNow;
+  }
+}
+
+bool
+target_evidence::Avoid(record& aRecord, duration aShortest, steady_time aNow)
+{
+  // Several requests were on their way when the first one failed: they are one
+  // piece of evidence.
+  const bool isNew = aNow >= aRecord.mAvoidedUntil;
+  if (!isNew) {
+    return false;
+  }
+  if (aRecord.mIsOnTrial) {
+    aRecord.mFailedTrials = std::min(aRecord.mFailedTrials + 1, 4);
+  }
+  const auto length = std::min<duration>(
+    kLongestAvoidance, aShortest * (1 << aRecord.mFailedTrials));
+  aRecord.mAvoidedUntil = aNow + length;
+  aRecord.mIsOnTrial = true;
+  return true;
+}
+
+bool
+target_evidence::Observe(std::string_view aTarget,
+                         exchange_outcome aOutcome,
+                         steady_time aNow)
+{
+  auto& record = mRecords[std::string(aTarget)];
+  Decay(record, aNow);
+  record.mUpdated = aNow;
+  switch (aOutcome) {
+    case exchange_outcome::Served: {
+      record.mSuccesses += 1;
+      const bool isRecovered =
+        record.mIsOnTrial && aNow >= record.mAvoidedUntil;
+      if (isRecovered) {
+        record.mIsOnTrial = false;
+        record.mFailedTrials = 0;
+        record.mFailures = 0;
+      }
+      return isRecovered;
+    }
+    case exchange_outcome::Failed: {
+      record.mFailures += 1;
+      const double share =
+        record.mFailures / (record.mFailures + record.mSuccesses);
+      if (record.mIsOnTrial || (record.mFailures >= kFailuresOfFault &&
+                                share >= kShareOfFault)) {
+        Avoid(record, kFirstAvoidance, aNow);
+      }
+      // Told to others each time: they add up the failures.
+      return true;
+    }
+    case exchange_outcome::Broken:
+    case exchange_outcome::TimedOut:
+      record.mFailures += 1;
+      return Avoid(record, kFirstAvoidance, aNow);
+    case exchange_outcome::Unreachable:
+      record.mFailures += 1;
+      return Avoid(record, kUnreachableAvoidance, aNow);
+    case exchange_outcome::Shed: {
+      const bool isNew = aNow >= record.mFullUntil;
+      record.mFullUntil = aNow + kFullTime;
+      return isNew;
+    }
+    case exchange_outcome::Misdirected:
+      return Avoid(record, kLongestAvoidance, aNow);
+    case exchange_outcome::Abandoned:
+      return false;
+  }
+  return false;
+}
+
+target_use
+target_evidence::UseOf(std::string_view aTarget, steady_time aNow) const
+{
+  const auto found = mRecords.find(std::string(aTarget));
+  if (found == mRecords.end()) {
+    return target_use::InUse;
+  }
+  if (aNow < found->second.mAvoidedUntil) {
+    return target_use::Avoided;
+  }
+  return found->second.mIsOnTrial ? target_use::Trial : target_use::InUse;
+}
+
+bool
+target_evidence::IsFull(std::string_view aTarget, steady_time aNow) const
+{
+  const auto found = mRecords.find(std::string(aTarget));
+  return found != mRecords.end() && aNow < found->second.mFullUntil;
+}
+
+double
+target_evidence::Suspicion(std::string_view aTarget, steady_time aNow) const
+{
+  const auto found = mRecords.find(std::string(aTarget));
+  if (found == mRecords.end()) {
+    return 0;
+  }
+  auto record = found->second;
+  Decay(record, aNow);
+  return record.mFailures - 0.5 * record.mSuccesses;
+}
+
+void
+target_evidence::Prune(steady_time aNow)
+{
+  for (auto record = mRecords.begin(); record != mRecords.end();) {
+    const bool isOld = aNow - record->second.mUpdated > kForgetAfter;
+    record = isOld ? mRecords.erase(record) : std::next(record);
+  }
+}
+
+} // namespace cowslipline
--- /dev/null
+++ b/modules/proxy/fleet_evidence.cpp
@@ -0,0 +1,160 @@
+#include "modules/proxy/fleet_evidence.h"
+
+#include <algorithm>
+
+namespace cowslipline {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Messages about load that an instance sends in a second.
+constexpr int kLoadMessagesPerSecond = 100;
+constexpr duration kShortestLoadInterval = 100ms;
+
+// An unchanged load is told again after this time; receivers forget it later.
+constexpr duration kLoadRepeat = 1s;
+
+/// Marks the message for receivers that pass it on.
+struct relay_marker
+{
+  bool mIsToRelay;
+
+  void operator()(outcome_report& aReport) const
+  {
+    aReport.mIsToRelay = mIsToRelay;
+  }
+  void operator()(crash_report& aReport) const
+  {
+    aReport.mIsToRelay = mIsToRelay;
+  }
+  template<typename Other>
+  void operator()(Other&) const
+  {
+  }
+};
+
+} // namespace
+
+fleet_evidence::fleet_evidence(scheduler& aScheduler,
+                               member_table& aMembers,
+                               peer_link& aLink,
+                               target_evidence& aEvidence,
+                               target_chooser& aChooser,
+                               crash_guard& aCrashes)
+  : mScheduler(aScheduler)
+  , mMembers(aMembers)
+  , mLink(aLink)
+  , mEvidence(aEvidence)
+  , mChooser(aChooser)
+  , mCrashes(aCrashes)
+{
+}
+
+void
+fleet_evidence::Spread(peer_payload aPayload, bool aIsToRelay)
+{
+  const auto now = mScheduler.Now();
+  std::visit(relay_marker{ false }, aPayload);
+  for (const auto* peer : mMembers.ZonePeers(now)) {
+    mLink.Send(aPayload, peer->mAddress);
+  }
+  if (!aIsToRelay) {
+    return;
+  }
+  std::visit(relay_marker{ true }, aPayload);
+  for (const auto* relay : mMembers.Relays(++mTurn, now)) {
+    mLink.Send(aPayload, relay->mAddress);
+  }
+}
+
+void
+fleet_evidence::OnOutcome(const std::string& aTarget, exchange_outcome aOutcome)
+{
+  if (mEvidence.Observe(aTarget, aOutcome, mScheduler.Now())) {
+    // Load matters to the zone whose requests made it.
+    const bool isToRelay = aOutcome != exchange_outcome::Shed;
+    Spread(outcome_report{ aTarget, static_cast<std::uint8_t>(aOutcome), false },
+           isToRelay);
+  }
+}
+
+void
+fleet_evidence::OnCrash(request_fingerprint aRequest,
+                        const std::string& aTarget)
+{
+  mCrashes.OnCrash(aRequest, aTarget, mScheduler.Now());
+  Spread(crash_report{ aRequest, aTarget, false }, true);
+}
+
+void
+fleet_evidence::OnReport(const outcome_report& aReport)
+{
+  if (aReport.mOutcome > static_cast<std::uint8_t>(exchange_outcome::Abandoned)) {
+    return;
+  }
+  mEvidence.Observe(aReport.mTarget,
+                    static_cast<exchange_outcome>(aReport.mOutcome),
+                    mScheduler.Now());
+  if (aReport.mIsToRelay) {
+    Spread(aReport, false);
+  }
+}
+
+void
+fleet_evidence::OnReport(const crash_report& aReport)
+{
+  mCrashes.OnCrash(aReport.mFingerprint, aReport.mTarget, mScheduler.Now());
+  if (aReport.mIsToRelay) {
+    Spread(aReport, false);
+  }
+}
+
+void
+fleet_evidence::OnReport(const std::string& aSender, const load_report& aReport)
+{
+  for (const auto& [target, requests] : aReport.mRequests) {
+    mChooser.SetRemoteLoad(aSender, target, requests, mScheduler.Now());
+  }
+}
+
+void
+fleet_evidence::ShareLoad()
+{
+  load_report report;
+  report.mRequests = mChooser.LocalLoad();
+  std::sort(report.mRequests.begin(), report.mRequests.end());
+  const auto now = mScheduler.Now();
+  const bool isSame = report.mRequests == mLastLoad.mRequests;
+  if (isSame && (report.mRequests.empty() || now - mLoadToldAt < kLoadRepeat)) {
+    return;
+  }
+  auto told = report;
+  for (const auto& [target, requests] : mLastLoad.mRequests) {
+    const bool isGone =
+      std::none_of(report.mRequests.begin(),
+                   report.mRequests.end(),
+                   [&name = target](const auto& aEntry) {
+                     return aEntry.first == name;
+                   });
+    if (isGone) {
+      told.mRequests.emplace_back(target, 0);
+    }
+  }
+  mLastLoad = std::move(report);
+  mLoadToldAt = now;
+  for (const auto* peer : mMembers.ZonePeers(now)) {
+    mLink.Send(told, peer->mAddress);
+  }
+}
+
+duration
+fleet_evidence::LoadInterval() const
+{
+  const auto peers = mMembers.ZonePeers(mScheduler.Now()).size();
+  return std::max<duration>(kShortestLoadInterval,
+                            duration(1s) * static_cast<int>(peers) /
+                              kLoadMessagesPerSecond);
+}
+
+} // namespace cowslipline
--- /dev/null
+++ b/modules/proxy/fleet_evidence.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "modules/placement/placement.h"
+#include "modules/sharing/sharing.h"
+
+namespace cowslipline {
+
+/// Exchanges what instances see of targets. Outcomes that change the use of a
+/// target go to the own availability zone at once, and to one instance of each
+/// other zone, which passes them on there: an instance's messages do not grow
+/// with the number of instances in other zones.
+class fleet_evidence
+{
+public:
+  fleet_evidence(scheduler& aScheduler,
+                 member_table& aMembers,
+                 peer_link& aLink,
+                 target_evidence& aEvidence,
+                 target_chooser& aChooser,
+                 crash_guard& aCrashes);
+
+  /// An outcome of this instance.
+  void OnOutcome(const std::string& aTarget, exchange_outcome aOutcome);
+  void OnCrash(request_fingerprint aRequest, const std::string& aTarget);
+
+  /// A message of another instance.
+  void OnReport(const outcome_report& aReport);
+  void OnReport(const crash_report& aReport);
+  void OnReport(const std::string& aSender, const load_report& aReport);
+
+  /// Tells the zone which targets this instance's requests are at, when that
+  /// has changed or was not told for a second.
+  void ShareLoad();
+
+  /// Time between two calls of ShareLoad: longer in larger zones, so that an
+  /// instance sends a bounded number of messages.
+  duration LoadInterval() const;
+
+private:
+  void Spread(peer_payload aPayload, bool aIsToRelay);
+
+  scheduler& mScheduler;
+  member_table& mMembers;
+  peer_link& mLink;
+  target_evidence& mEvidence;
+  target_chooser& mChooser;
+  crash_guard& mCrashes;
+  std::uint64_t mTurn = 0;
+  load_report mLastLoad;
+  /// What the last report listed and the present one lacks is sent as zero.
+  steady_time mLoadToldAt;
+};
+
+} // namespace cowslipline
--- /dev/null
+++ b/modules/proxy/proxy_instance.cpp
@@ -0,0 +1,238 @@
+#include "modules/proxy/proxy_instance.h"
+
+#include "core/log.h"
+
+namespace cowslipline {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration kHousekeepingInterval = 1s;
+
+// The load balancer asks once a second and takes an instance out after two
+// misses; until then new connections still arrive.
+constexpr duration kUntilOutOfRotation = 2600ms;
+
+// Requests that arrive later could not finish within the grace time.
+constexpr duration kUntilRefusing = 3200ms;
+
+// Left of the grace time when the last answers are given up.
+constexpr duration kExitMargin = 300ms;
+
+constexpr duration kDrainPoll = 20ms;
+
+} // namespace
+
+result<std::unique_ptr<proxy_instance>>
+proxy_instance::Create(scheduler& aScheduler,
+                       const proxy_settings& aSettings,
+                       header_dialect aNames,
+                       platform_feed& aFeed,
+                       std::uint64_t aSeed)
+{
+  auto link = peer_link::Open(
+    aScheduler.Context(), aSettings.mInstance, aSettings.mPeers);
+  if (!link) {
+    return Fail(link.error());
+  }
+  std::unique_ptr<proxy_instance> instance(
+    new proxy_instance(aScheduler,
+                       aSettings,
+                       std::move(aNames),
+                       aFeed,
+                       std::move(*link),
+                       aSeed));
+  for (const auto& opened :
+       { instance->mListener.Open(aSettings.mCallers),
+         instance->mReadiness.Open(aSettings.mReadiness),
+         instance->mMetricsPage.Open(aSettings.mMetrics) }) {
+    if (!opened) {
+      return Fail(opened.error());
+    }
+  }
+  return instance;
+}
+
+proxy_instance::proxy_instance(scheduler& aScheduler,
+                               const proxy_settings& aSettings,
+                               header_dialect aNames,
+                               platform_feed& aFeed,
+                               std::unique_ptr<peer_link> aLink,
+                               std::uint64_t aSeed)
+  : mScheduler(aScheduler)
+  , mSettings(aSettings)
+  , mRandom(aSeed)
+  , mLink(std::move(aLink))
+  , mView(aSettings.mBounds.mRevocation,
+          { aSettings.mInstance,
+            aSettings.mAvailabilityZone,
+            mLink->LocalAddress() })
+  , mChooser(aSettings.mAvailabilityZone,
+             aSettings.mBounds.mFloorShare,
+             mRandom.Next())
+  , mRetries(aSettings.mBounds.mRetryRatio, aSettings.mBounds.mRetryExtra)
+  , mQuotas(aScheduler, mView.mMembers, *mLink, mRandom.Next() >> 1)
+  , mReports(aScheduler, mView.mMembers, *mLink, mEvidence, mChooser, mCrashes)
+  , mServices{ aScheduler, aScheduler.Context(), mSettings, std::move(aNames),
+               mView,      mEvidence,            mChooser,  mRetries,
+               mCrashes,   mQuotas,              mReports,  mPool,
+               mMetrics,   mRandom }
+  , mSync(aScheduler,
+          aFeed,
+          mView,
+          mMetrics,
+          aSettings.mBounds.mRevocation,
+          mRandom.Next())
+  , mRegistration(aScheduler, aFeed, mView.mMembers.Self())
+  , mListener(mServices)
+  , mReadiness(aScheduler.Context(),
+               [this](std::string_view aPath) { return RenderPage(aPath); })
+  , mMetricsPage(aScheduler.Context(),
+                 [this](std::string_view aPath) { return RenderPage(aPath); })
+{
+  mLink->SetHandler(
+    [this](const peer_message& aMessage, const udp_endpoint& aFrom) {
+      OnPeerMessage(aMessage, aFrom);
+    });
+}
+
+proxy_instance::~proxy_instance() = default;
+
+void
+proxy_instance::Start()
+{
+  mScheduler.Spawn([this](yield_context aYield) { mSync.Run(aYield); });
+  mScheduler.Spawn([this](yield_context aYield) { mRegistration.Run(aYield); });
+  mScheduler.Spawn([this](yield_context aYield) { RunHousekeeping(aYield); });
+  mScheduler.Spawn([this](yield_context aYield) { RunLoadReports(aYield); });
+}
+
+quota_limit
+proxy_instance::LimitOf(std::string_view aOrganisation) const
+{
+  if (!mView.mRoutes) {
+    return {};
+  }
+  for (const auto& organisation :
+       mView.mRoutes->Configuration().mOrganisations) {
+    if (organisation.mName == aOrganisation) {
+      return { organisation.mRate, organisation.mBurst };
+    }
+  }
+  return {};
+}
+
+void
+proxy_instance::OnPeerMessage(const peer_message& aMessage,
+                              const udp_endpoint& aFrom)
+{
+  mView.mMembers.OnHeard(aMessage.mSender, mScheduler.Now());
+  struct visitor
+  {
+    proxy_instance& mInstance;
+    const peer_message& mMessage;
+    const udp_endpoint& mFrom;
+
+    void operator()(const outcome_report& aReport) const
+    {
+      mInstance.mReports.OnReport(aReport);
+    }
+    void operator()(const crash_report& aReport) const
+    {
+      mInstance.mReports.OnReport(aReport);
+    }
+    void operator()(const load_report& aReport) const
+    {
+      mInstance.mReports.OnReport(mMessage.mSender, aReport);
+    }
+    void operator()(const quota_question& aQuestion) const
+    {
+      // Without a configuration nothing is known of the organisation.
+      if (mInstance.mView.mRoutes) {
+        mInstance.mQuotas.OnQuestion(
+          aQuestion, mInstance.LimitOf(aQuestion.mOrganisation), mFrom);
+      }
+    }
+    void operator()(const quota_answer& aAnswer) const
+    {
+      mInstance.mQuotas.OnAnswer(aAnswer);
+    }
+  };
+  std::visit(visitor{ *this, aMessage, aFrom }, aMessage.mPayload);
+}
+
+void
+proxy_instance::RunHousekeeping(yield_context aYield)
+{
+  while (!mIsStopped) {
+    mScheduler.SleepFor(kHousekeepingInterval, aYield);
+    const auto now = mScheduler.Now();
+    mPool.CloseExpired(now);
+    mEvidence.Prune(now);
+    mChooser.Prune(now);
+    mCrashes.Prune(now);
+    mQuotas.Prune();
+    mRetries.SetInstances(mView.mMembers.Count(now));
+  }
+}
+
+void
+proxy_instance::RunLoadReports(yield_context aYield)
+{
+  while (!mIsStopped) {
+    mScheduler.SleepFor(mReports.LoadInterval(), aYield);
+    mReports.ShareLoad();
+  }
+}
+
+page
+proxy_instance::RenderPage(std::string_view aPath)
+{
+  if (aPath == "/-/readyz") {
+    return mServices.IsReady() ? page{ 200, "ready\n" }
+                               : page{ 503, "not ready\n" };
+  }
+  if (aPath == "/metrics") {
+    return { 200, mMetrics.RenderText() };
+  }
+  return { 404, "not found\n" };
+}
+
+bool
+proxy_instance::Leave(yield_context aYield)
+{
+  const auto startedAt = mScheduler.Now();
+  mServices.mPhase = lifecycle_phase::Leaving;
+  Log(log_level::Info,
+      "leaving",
+      { { "in_flight", std::to_string(mServices.mRequestsInFlight) } });
+  mScheduler.SleepFor(kUntilOutOfRotation, aYield);
+  mRegistration.Stop();
+  mRegistration.Leave(aYield);
+  mListener.StopAccepting();
+  const auto end = startedAt + mSettings.mGrace - kExitMargin;
+  while (mScheduler.Now() < end) {
+    mListener.CloseIdle();
+    if (mServices.mRequestsInFlight == 0 && mListener.Connections() == 0) {
+      break;
+    }
+    if (mScheduler.Now() - startedAt > kUntilRefusing) {
+      mServices.mPhase = lifecycle_phase::Refusing;
+    }
+    mScheduler.SleepFor(kDrainPoll, aYield);
+  }
+  mSync.Stop();
+  mIsStopped = true;
+  mReadiness.Close();
+  mMetricsPage.Close();
+  mLink->Close();
+  const auto cut = mServices.mRequestsInFlight;
+  Log(log_level::Info,
+      "left",
+      { { "cut", std::to_string(cut) },
+        { "connections", std::to_string(mListener.Connections()) } });
+  return cut == 0;
+}
+
+} // namespace cowslipline
--- /dev/null
+++ b/modules/proxy/proxy_instance.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "modules/proxy/caller_session.h"
+#include "modules/proxy/page_server.h"
+#include "modules/proxy/proxy_services.h"
+
+namespace cowslipline {
+
+/// One instance: its listeners, its tasks and what they share.
+class proxy_instance
+{
+public:
+  /// Binds all addresses. aFeed: the platform's store. Errors: those of
+  /// bind().
+  static result<std::unique_ptr<proxy_instance>> Create(
+    scheduler& aScheduler,
+    const proxy_settings& aSettings,
+    header_dialect aNames,
+    platform_feed& aFeed,
+    std::uint64_t aSeed);
+  ~proxy_instance();
+
+  /// Starts the tasks that follow the store, the registration and the peers.
+  void Start();
+
+  /// Takes the instance out of service: callers' requests finish, connections
+  /// close. Returns when nothing is in flight or the grace time is over; true
+  /// when no request was cut.
+  bool Leave(yield_context aYield);
+
+  tcp_endpoint CallersAddress() const { return mListener.LocalAddress(); }
+  tcp_endpoint ReadinessAddress() const { return mReadiness.LocalAddress(); }
+  bool IsReady() const { return mServices.IsReady(); }
+  metrics& Metrics() { return mMetrics; }
+
+private:
+  proxy_instance(scheduler& aScheduler,
+                 const proxy_settings& aSettings,
+                 header_dialect aNames,
+                 platform_feed& aFeed,
+                 std::unique_ptr<peer_link> aLink,
+                 std::uint64_t aSeed);
+
+  void OnPeerMessage(const peer_message& aMessage, const udp_endpoint& aFrom);
+  quota_limit LimitOf(std::string_view aOrganisation) const;
+  void RunHousekeeping(yield_context aYield);
+  void RunLoadReports(yield_context aYield);
+  page RenderPage(std::string_view aPath);
+
+  scheduler& mScheduler;
+  proxy_settings mSettings;
+  random_source mRandom;
+  metrics mMetrics;
+  std::unique_ptr<peer_link> mLink;
+  platform_view mView;
+  target_evidence mEvidence;
+  target_chooser mChooser;
+  retry_budget mRetries;
+  crash_guard mCrashes;
+  quota_client mQuotas;
+  fleet_evidence mReports;
+  upstream_pool mPool;
+  proxy_services mServices;
+  platform_sync mSync;
+  registration mRegistration;
+  caller_listener mListener;
+  page_server mReadiness;
+  page_server mMetricsPage;
+  bool mIsStopped = false;
+};
+
+} // namespace cowslipline
--- /dev/null
+++ b/modules/proxy/proxy_services.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "core/metrics.h"
+#include "modules/placement/placement.h"
+#include "modules/proxy/fleet_evidence.h"
+#include "modules/proxy/proxy_settings.h"
+#include "modules/proxy/upstream_pool.h"
+#include "modules/sharing/sharing.h"
+#include "modules/sync/sync.h"
+
+namespace cowslipline {
+
+/// How far the instance is on its way out.
+enum class lifecycle_phase
+{
+  Serving,
+  Leaving,  ///< Not ready any more; requests are served, connections closed.
+  Refusing, ///< New requests are refused; those in flight finish.
+};
+
+/// What the tasks of one process share. They run on one thread.
+struct proxy_services
+{
+  scheduler& mScheduler;
+  asio::io_context& mContext;
+  const proxy_settings& mSettings;
+  header_dialect mNames;
+  platform_view& mView;
+  target_evidence& mEvidence;
+  target_chooser& mChooser;
+  retry_budget& mRetries;
+  crash_guard& mCrashes;
+  quota_client& mQuotas;
+  fleet_evidence& mReports;
+  upstream_pool& mPool;
+  metrics& mMetrics;
+  random_source& mRandom;
+  lifecycle_phase mPhase = lifecycle_phase::Serving;
+  std::size_t mRequestsInFlight = 0;
+  std::size_t mBufferedBytes = 0;
+  /// Shares of routes with several services, by route name.
+  std::unordered_map<std::string, share_picker> mShares{};
+
+  bool IsReady() const
+  {
+    return mPhase == lifecycle_phase::Serving && mView.mIsComplete &&
+           mView.mRoutes && mView.mFreshness.IsFresh(mScheduler.Now());
+  }
+};
+
+} // namespace cowslipline
--- /dev/null
+++ b/modules/proxy/proxy_settings.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "core/tcp_stream.h"
+
+#include <asio/ip/udp.hpp>
+
+namespace cowslipline {
+
+/// Bounds that the operators' platform sets for the whole fleet.
+struct fleet_bounds
+{
+  /// A withdrawn key stops working within this time.
+  duration mRevocation = std::chrono::seconds(5);
+  /// Share of a service's sound targets that stays in use.
+  double mFloorShare = 0.7;
+  /// Repeated sends for each request of a service.
+  double mRetryRatio = 0.2;
+  /// Repeated sends that the fleet may add in one window.
+  double mRetryExtra = 60;
+};
+
+struct proxy_settings
+{
+  std::string mInstance;
+  std::string mAvailabilityZone;
+  tcp_endpoint mCallers;
+  tcp_endpoint mReadiness;
+  tcp_endpoint mMetrics;
+  asio::ip::udp::endpoint mPeers;
+  tcp_endpoint mStore;
+  /// From SIGTERM until the process is ended by force.
+  duration mGrace = std::chrono::seconds(6);
+  fleet_bounds mBounds;
+  /// Bytes of request and answer bodies that may be in memory.
+  std::size_t mBufferedBytes = 64UL * 1024 * 1024;
+};
+
+} // namespace cowslipline
--- /dev/null
+++ b/modules/proxy/request_handler.cpp
@@ -0,0 +1,615 @@
+#include "modules/proxy/request_handler.h"
+
+#include "core/hash.h"
+#include "core/log.h"
+#include "modules/proxy/end_to_end_headers.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+
+namespace cowslipline {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// A caller without a deadline of its own.
+constexpr duration kDefaultDeadline = 30s;
+
+// A request with less time left cannot be answered in time any more.
+constexpr duration kLeastTime = 5ms;
+
+// Callers of targets that are full return within this span, evenly spread. A
+// target works off its queue in about a second.
+constexpr duration kShortestReturn = 250ms;
+constexpr duration kLongestReturn = 1s;
+
+// Return time of callers refused for another cause that passes by itself.
+constexpr duration kUsualReturn = 500ms;
+
+// A repeatable request is sent to a second target when this part of its
+// latency objective has passed without an answer.
+constexpr double kHedgePart = 0.75;
+
+// Requests that no target accepted are tried at this many targets at most.
+constexpr std::size_t kMostTried = 4;
+
+// The stack of a task that carries one exchange.
+constexpr std::size_t kExchangeStackBytes = 64UL * 1024;
+
+std::string
+Milliseconds(duration aDuration)
+{
+  return std::to_string(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
+}
+
+const char*
+OutcomeName(exchange_outcome aOutcome)
+{
+  switch (aOutcome) {
+    case exchange_outcome::Served:
+      return "served";
+    case exchange_outcome::Failed:
+      return "failed";
+    case exchange_outcome::Broken:
+      return "broken";
+    case exchange_outcome::TimedOut:
+      return "timed_out";
+    case exchange_outcome::Shed:
+      return "shed";
+    case exchange_outcome::Unreachable:
+      return "unreachable";
+    case exchange_outcome::Misdirected:
+      return "misdirected";
+    case exchange_outcome::Abandoned:
+      return "abandoned";
+  }
+  return "unknown";
+}
+
+const char*
+SourceName(quota_source aSource)
+{
+  switch (aSource) {
+    case quota_source::Unlimited:
+      return "unlimited";
+    case quota_source::Owner:
+      return "own";
+    case quota_source::Peer:
+      return "owner";
+    case quota_source::SecondOwner:
+      return "second_owner";
+    case quota_source::LocalShare:
+      return "local_share";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+const char*
+CauseName(refusal_cause aCause)
+{
+  switch (aCause) {
+    case refusal_cause::None:
+      return "none";
+    case refusal_cause::NoConfiguration:
+      return "no_configuration";
+    case refusal_cause::NoRoute:
+      return "no_route";
+    case refusal_cause::KeyMissing:
+      return "key_missing";
+    case refusal_cause::KeyUnknown:
+      return "key_unknown";
+    case refusal_cause::ConfigurationStale:
+      return "configuration_stale";
+    case refusal_cause::OverQuota:
+      return "over_quota";
+    case refusal_cause::NoTarget:
+      return "no_target";
+    case refusal_cause::TargetsFull:
+      return "targets_full";
+    case refusal_cause::AttemptsUsed:
+      return "attempts_used";
+    case refusal_cause::RetryBudgetSpent:
+      return "retry_budget_spent";
+    case refusal_cause::CrashesTargets:
+      return "crashes_targets";
+    case refusal_cause::OutcomeUnknown:
+      return "outcome_unknown";
+    case refusal_cause::DeadlinePassed:
+      return "deadline_passed";
+    case refusal_cause::Leaving:
+      return "leaving";
+    case refusal_cause::Malformed:
+      return "malformed";
+    case refusal_cause::TooLarge:
+      return "too_large";
+    case refusal_cause::OverMemory:
+      return "over_memory";
+    case refusal_cause::CallerSlow:
+      return "caller_slow";
+  }
+  return "unknown";
+}
+
+request_handler::request_handler(proxy_services& aServices,
+                                 http_request aRequest,
+                                 steady_time aReceivedAt)
+  : mServices(aServices)
+  , mRequest(std::move(aRequest))
+  , mReceivedAt(aReceivedAt)
+{
+  const auto& headers = mRequest.mHead.mHeaders;
+  mRequestId =
+    std::string(headers.Find(mServices.mNames.mRequestId).value_or(""));
+  std::int64_t deadlineMs = 0;
+  const auto text =
+    headers.Find(mServices.mNames.mDeadlineMs).value_or(std::string_view());
+  std::from_chars(text.data(), text.data() + text.size(), deadlineMs);
+  mDeadline = mReceivedAt + (deadlineMs > 0
+                               ? duration(std::chrono::milliseconds(deadlineMs))
+                               : kDefaultDeadline);
+  ++mServices.mRequestsInFlight;
+}
+
+request_handler::~request_handler()
+{
+  --mServices.mRequestsInFlight;
+}
+
+std::optional<caller_answer>
+request_handler::Handle(yield_context aYield)
+{
+  auto answer = Authorise(aYield);
+  if (!answer) {
+    answer = Exchange(aYield);
+  }
+  LogRequest(answer);
+  return answer;
+}
+
+void
+request_handler::OnCallerGone()
+{
+  mIsCallerGone = true;
+  // One that must not be repeated finishes: breaking it off would leave the
+  // caller with a side effect of which nobody knows the outcome.
+  if (mRoute != nullptr && mRoute->mRepeat == repeat_rule::Idempotent) {
+    for (const auto& open : mProgress->mAttempts) {
+      if (!open->mResult) {
+        open->mExchange->Cancel();
+      }
+    }
+  }
+  mProgress->mChanged.Set();
+}
+
+caller_answer
+request_handler::Refuse(int aStatus,
+                        refusal_cause aCause,
+                        duration aRetryAfter) const
+{
+  caller_answer answer;
+  answer.mStatus = aStatus;
+  answer.mCause = aCause;
+  if (!mRequestId.empty()) {
+    answer.mHeaders.Add(mServices.mNames.mRequestId, mRequestId);
+  }
+  answer.mHeaders.Add("Content-Type", "text/plain");
+  if (aRetryAfter > duration(0)) {
+    char text[32];
+    std::snprintf(text,
+                  sizeof(text),
+                  "%.3f",
+                  std::chrono::duration<double>(aRetryAfter).count());
+    answer.mHeaders.Add("Retry-After", text);
+  }
+  answer.mBody = std::string(CauseName(aCause)) + '\n';
+  return answer;
+}
+
+std::optional<caller_answer>
+request_handler::Authorise(yield_context aYield)
+{
+  const auto now = mServices.mScheduler.Now();
+  if (mServices.mPhase == lifecycle_phase::Refusing) {
+    return Refuse(503, refusal_cause::Leaving, kShortestReturn);
+  }
+  mRoutes = mServices.mView.mRoutes;
+  if (!mRoutes || !mServices.mView.mIsComplete) {
+    return Refuse(503, refusal_cause::NoConfiguration, kUsualReturn);
+  }
+  const bool isFresh = mServices.mView.mFreshness.IsFresh(now);
+  const auto& headers = mRequest.mHead.mHeaders;
+  mRoute = mRoutes->FindRoute(headers.Find("Host").value_or(""),
+                              mRequest.mHead.Path());
+  if (mRoute == nullptr) {
+    // A newer configuration that this instance cannot read may have it.
+    return isFresh ? Refuse(404, refusal_cause::NoRoute)
+                   : Refuse(503, refusal_cause::ConfigurationStale, kUsualReturn);
+  }
+  if (mRoute->mTimeout > duration(0)) {
+    mDeadline = std::min(mDeadline, mReceivedAt + mRoute->mTimeout);
+  }
+  if (mRequestId.empty()) {
+    return Refuse(400, refusal_cause::Malformed);
+  }
+  const bool isGuarded =
+    !mRoute->mIsPublic && !mRoutes->Configuration().mOrganisations.empty();
+  const auto keys = headers.Count(mServices.mNames.mKey);
+  if (keys == 1) {
+    mOrganisation =
+      mRoutes->FindOrganisation(*headers.Find(mServices.mNames.mKey));
+  }
+  if (!isGuarded) {
+    return std::nullopt;
+  }
+  if (!isFresh) {
+    return Refuse(503, refusal_cause::ConfigurationStale, kUsualReturn);
+  }
+  if (keys != 1) {
+    return Refuse(401, refusal_cause::KeyMissing);
+  }
+  if (mOrganisation == nullptr) {
+    return Refuse(401, refusal_cause::KeyUnknown);
+  }
+  return CheckQuota(aYield);
+}
+
+std::optional<caller_answer>
+request_handler::CheckQuota(yield_context aYield)
+{
+  const auto admission = mServices.mQuotas.Admit(
+    mOrganisation->mName,
+    { mOrganisation->mRate, mOrganisation->mBurst },
+    aYield);
+  mQuotaSource = SourceName(admission.mSource);
+  if (!admission.mDecision.mIsAdmitted) {
+    return Refuse(429,
+                  refusal_cause::OverQuota,
+                  std::max<duration>(admission.mDecision.mRetryAfter,
+                                     kShortestReturn));
+  }
+  return std::nullopt;
+}
+
+std::optional<caller_answer>
+request_handler::Exchange(yield_context aYield)
+{
+  if (mRoute->mShares.size() == 1) {
+    mService = mRoute->mShares.front().mService;
+  } else {
+    const auto placed = mServices.mShares.try_emplace(
+      mRoute->mName, mServices.mRandom.Unit());
+    mService = placed.first->second.Pick(mRoute->mShares);
+  }
+  const std::string organisation =
+    mOrganisation == nullptr ? std::string() : mOrganisation->mName;
+  mFingerprint = Hash64(mRequest.mBody,
+                        Hash64(mService + '\n' + organisation + '\n' +
+                               mRequest.mHead.mMethod + '\n' +
+                               mRequest.mHead.mTarget));
+  if (mServices.mCrashes.IsBlocked(mFingerprint, mServices.mScheduler.Now())) {
+    return Refuse(502, refusal_cause::CrashesTargets);
+  }
+  const auto& head = mRequest.mHead;
+  mTargetRequest = std::make_shared<target_request>();
+  mTargetRequest->mMethod = head.mMethod;
+  mTargetRequest->mTarget = head.mTarget;
+  mTargetRequest->mHeaders = HeadersForTarget(head.mHeaders, mServices.mNames);
+  if (!organisation.empty()) {
+    mTargetRequest->mHeaders.Add(mServices.mNames.mOrganisation, organisation);
+  }
+  mTargetRequest->mHasLength =
+    head.mFraming.mIsChunked || head.mFraming.mLength.has_value();
+  mTargetRequest->mBody = std::move(mRequest.mBody);
+  mTargetRequest->mRequestId = mRequestId;
+  mServices.mRetries.OnRequest(mService);
+
+  auto cause = StartAttempt();
+  if (cause != refusal_cause::None) {
+    return GiveUp(cause);
+  }
+  bool isHedged = false;
+  while (true) {
+    const bool canHedge = !isHedged && MayRepeat() &&
+                          mRoute->mLatencyObjective > duration(0);
+    const auto wake = NextWake(canHedge);
+    const auto wait = wake - mServices.mScheduler.Now();
+    if (wait > duration(0)) {
+      mProgress->mChanged.Wait(mServices.mScheduler, wait, aYield);
+    }
+    if (mIsCallerGone) {
+      return std::nullopt;
+    }
+    for (std::size_t i = 0; i < mProgress->mAttempts.size(); ++i) {
+      const auto finished = mProgress->mAttempts[i];
+      if (finished->mResult && !finished->mIsJudged) {
+        finished->mIsJudged = true;
+        if (auto answer = Judge(*finished)) {
+          return answer;
+        }
+      }
+    }
+    const auto now = mServices.mScheduler.Now();
+    if (now + kLeastTime >= mDeadline) {
+      return GiveUp(refusal_cause::DeadlinePassed);
+    }
+    MarkOverdue();
+    if (!HasOpenAttempt()) {
+      if (mMayHaveRun && mRoute->mRepeat != repeat_rule::Idempotent) {
+        return GiveUp(refusal_cause::OutcomeUnknown);
+      }
+      cause = StartAttempt();
+      if (cause != refusal_cause::None) {
+        return GiveUp(cause);
+      }
+      continue;
+    }
+    const bool isHedgeDue =
+      canHedge && now >= wake && wake < mDeadline - kLeastTime;
+    if (isHedgeDue) {
+      isHedged = true;
+      // Without a second target the first one is waited for.
+      StartAttempt();
+    }
+  }
+}
+
+bool
+request_handler::MayRepeat() const
+{
+  return mRoute->mRepeat == repeat_rule::Idempotent &&
+         mArrivals < mRoute->mAttempts;
+}
+
+bool
+request_handler::HasOpenAttempt() const
+{
+  return std::any_of(mProgress->mAttempts.begin(),
+                     mProgress->mAttempts.end(),
+                     [](const auto& aAttempt) { return !aAttempt->mResult; });
+}
+
+steady_time
+request_handler::NextWake(bool aIsHedgePossible) const
+{
+  auto wake = mDeadline - kLeastTime;
+  if (mRoute->mLatencyObjective <= duration(0)) {
+    return wake;
+  }
+  if (aIsHedgePossible) {
+    const auto hedge = std::chrono::duration_cast<duration>(
+      mRoute->mLatencyObjective * kHedgePart);
+    wake = std::min(wake, mReceivedAt + hedge);
+  }
+  for (const auto& open : mProgress->mAttempts) {
+    if (!open->mResult && !open->mIsOverdue) {
+      wake = std::min(wake, open->mStartedAt + mRoute->mLatencyObjective);
+    }
+  }
+  return wake;
+}
+
+void
+request_handler::MarkOverdue()
+{
+  if (mRoute->mLatencyObjective <= duration(0)) {
+    return;
+  }
+  for (const auto& open : mProgress->mAttempts) {
+    const bool isOverdue =
+      !open->mResult && !open->mIsOverdue &&
+      mServices.mScheduler.Now() - open->mStartedAt >=
+        mRoute->mLatencyObjective;
+    if (isOverdue) {
+      // Told before the deadline: other requests would wait at the same
+      // silent target meanwhile.
+      open->mIsOverdue = true;
+      mServices.mReports.OnOutcome(open->mTarget, exchange_outcome::TimedOut);
+    }
+  }
+}
+
+refusal_cause
+request_handler::StartAttempt()
+{
+  const auto now = mServices.mScheduler.Now();
+  if (mArrivals >= mRoute->mAttempts || mTried.size() >= kMostTried) {
+    return refusal_cause::AttemptsUsed;
+  }
+  if (!mRoute->mIsPublic && mOrganisation != nullptr &&
+      !mServices.mView.mFreshness.IsFresh(now)) {
+    return refusal_cause::ConfigurationStale;
+  }
+  if (mServices.mCrashes.IsBlocked(mFingerprint, now)) {
+    return refusal_cause::CrashesTargets;
+  }
+  const auto ready = mServices.mView.mTargets.Ready(mService);
+  std::vector<placement_candidate> candidates;
+  candidates.reserve(ready.size());
+  for (const auto* entry : ready) {
+    candidates.push_back({ entry->mId,
+                           entry->mAvailabilityZone,
+                           entry->mSlots,
+                           entry->mColdRemaining > duration(0) });
+  }
+  if (target_chooser::AreAllFull(candidates, mServices.mEvidence, now)) {
+    return refusal_cause::TargetsFull;
+  }
+  placement_request request;
+  request.mIsRepeatable = mRoute->mRepeat == repeat_rule::Idempotent;
+  request.mTried = mTried;
+  const auto chosen = mServices.mChooser.Choose(
+    candidates, request, mServices.mEvidence, now);
+  if (!chosen) {
+    return refusal_cause::NoTarget;
+  }
+  // The first arrival of a request is free; every further one counts.
+  if (mArrivals > 0 && !mServices.mRetries.Take(mService)) {
+    return refusal_cause::RetryBudgetSpent;
+  }
+  const auto& target = *ready[*chosen];
+  const auto started = std::make_shared<attempt>();
+  started->mTarget = target.mId;
+  started->mStartedAt = now;
+  started->mExchange = std::make_shared<target_exchange>(mServices.mContext,
+                                                         mServices.mPool,
+                                                         mServices.mNames,
+                                                         mTargetRequest,
+                                                         target);
+  mTried.push_back(target.mId);
+  ++mArrivals;
+  mProgress->mAttempts.push_back(started);
+  mServices.mChooser.Begin(target.mId);
+  ++mServices.mRequestsInFlight;
+  asio::spawn(
+    mServices.mContext,
+    [&services = mServices,
+     started,
+     progress = mProgress,
+     fingerprint = mFingerprint,
+     deadline = mDeadline](yield_context aYield) {
+      auto finished = started->mExchange->Run(deadline, aYield);
+      services.mChooser.Finish(started->mTarget);
+      --services.mRequestsInFlight;
+      if (finished.mIsNewConnection) {
+        services.mMetrics.Counter("cowslipline_upstream_connections_total")
+          .Add();
+      }
+      const bool isKnownOverdue =
+        started->mIsOverdue && finished.mOutcome == exchange_outcome::TimedOut;
+      if (!isKnownOverdue) {
+        services.mReports.OnOutcome(started->mTarget,
+                                    finished.mIsTargetDown
+                                      ? exchange_outcome::Unreachable
+                                      : finished.mOutcome);
+      }
+      if (finished.mIsTargetDown) {
+        services.mReports.OnCrash(fingerprint, started->mTarget);
+      } else if (finished.mResponse) {
+        services.mCrashes.OnAnswer(fingerprint);
+      }
+      started->mResult = std::move(finished);
+      progress->mChanged.Set();
+    },
+    boost::coroutines::attributes(kExchangeStackBytes));
+  return refusal_cause::None;
+}
+
+std::optional<caller_answer>
+request_handler::Judge(attempt& aAttempt)
+{
+  auto& finished = *aAttempt.mResult;
+  mMayHaveRun = mMayHaveRun || finished.mMayHaveRun;
+  switch (finished.mOutcome) {
+    case exchange_outcome::Served:
+      return FromTarget(std::move(*finished.mResponse));
+    case exchange_outcome::Failed:
+      if (!MayRepeat()) {
+        return FromTarget(std::move(*finished.mResponse));
+      }
+      mTargetFailure = std::move(finished.mResponse);
+      return std::nullopt;
+    case exchange_outcome::Unreachable:
+      // It has not arrived anywhere.
+      --mArrivals;
+      return std::nullopt;
+    default:
+      return std::nullopt;
+  }
+}
+
+caller_answer
+request_handler::GiveUp(refusal_cause aCause)
+{
+  if (mTargetFailure) {
+    return FromTarget(std::move(*mTargetFailure));
+  }
+  // An attempt that is still open may run.
+  const bool mayRun = mMayHaveRun || std::any_of(
+    mProgress->mAttempts.begin(),
+    mProgress->mAttempts.end(),
+    [](const auto& aAttempt) {
+      return !aAttempt->mResult && aAttempt->mExchange->IsSent();
+    });
+  for (const auto& open : mProgress->mAttempts) {
+    if (!open->mResult && !open->mExchange->IsSent()) {
+      open->mExchange->Cancel();
+    }
+  }
+  if (mayRun) {
+    return aCause == refusal_cause::DeadlinePassed
+             ? Refuse(504, aCause)
+             : Refuse(502,
+                      aCause == refusal_cause::None
+                        ? refusal_cause::OutcomeUnknown
+                        : aCause);
+  }
+  if (aCause == refusal_cause::CrashesTargets) {
+    return Refuse(502, aCause);
+  }
+  const auto span = kLongestReturn - kShortestReturn;
+  const auto spread =
+    kShortestReturn + duration(static_cast<duration::rep>(
+                        mServices.mRandom.Unit() *
+                        static_cast<double>(span.count())));
+  return Refuse(503, aCause, spread);
+}
+
+caller_answer
+request_handler::FromTarget(http_response aResponse) const
+{
+  caller_answer answer;
+  answer.mStatus = aResponse.mHead.mStatus;
+  answer.mHeaders = EndToEndHeaders(aResponse.mHead.mHeaders);
+  answer.mBody = std::move(aResponse.mBody);
+  return answer;
+}
+
+void
+request_handler::LogRequest(const std::optional<caller_answer>& aAnswer) const
+{
+  const auto now = mServices.mScheduler.Now();
+  const auto cause = aAnswer ? aAnswer->mCause : refusal_cause::None;
+  std::string attempts;
+  for (const auto& sent : mProgress->mAttempts) {
+    attempts += attempts.empty() ? "" : " ";
+    attempts += sent->mTarget + '=';
+    attempts += sent->mResult ? OutcomeName(sent->mResult->mOutcome) : "open";
+    if (sent->mResult && !sent->mResult->mReason.empty()) {
+      attempts += '(' + sent->mResult->mReason + ')';
+    }
+  }
+  const auto status = aAnswer ? std::to_string(aAnswer->mStatus) : "caller_left";
+  mServices.mMetrics
+    .Counter("cowslipline_requests_total{status=\"" + status + "\",cause=\"" +
+             CauseName(cause) + "\"}")
+    .Add();
+  mServices.mMetrics.ObserveSeconds(
+    "cowslipline_request_seconds",
+    std::chrono::duration<double>(now - mReceivedAt).count());
+  Log(cause == refusal_cause::None ? log_level::Info : log_level::Warn,
+      "request",
+      { { "request", mRequestId },
+        { "status", status },
+        { "cause", CauseName(cause) },
+        { "route", mRoute == nullptr ? "" : mRoute->mName },
+        { "organisation",
+          mOrganisation == nullptr ? "" : mOrganisation->mName },
+        { "service", mService },
+        { "attempts", attempts },
+        { "quota", mQuotaSource },
+        { "took_ms", Milliseconds(now - mReceivedAt) },
+        { "left_ms", Milliseconds(mDeadline - now) },
+        { "version",
+          mRoutes ? std::to_string(mRoutes->Configuration().mVersion) : "0" },
+        { "configuration_age_ms",
+          Milliseconds(std::min<duration>(
+            mServices.mView.mFreshness.Age(now), std::chrono::hours(24))) } });
+}
+
+} // namespace cowslipline
--- /dev/null
+++ b/modules/proxy/request_handler.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "core/http_message.h"
+#include "modules/proxy/proxy_services.h"
+#include "modules/proxy/target_exchange.h"
+
+namespace cowslipline {
+
+/// Why an answer is this instance's own and not a target's. Each has a counter
+/// and a name in the log.
+enum class refusal_cause
+{
+  None,
+  NoConfiguration,
+  NoRoute,
+  KeyMissing,
+  KeyUnknown,
+  ConfigurationStale,
+  OverQuota,
+  NoTarget,
+  TargetsFull,
+  AttemptsUsed,
+  RetryBudgetSpent,
+  CrashesTargets,
+  OutcomeUnknown,
+  DeadlinePassed,
+  Leaving,
+  Malformed,
+  TooLarge,
+  OverMemory,
+  CallerSlow,
+};
+
+const char*
+CauseName(refusal_cause aCause);
+
+struct caller_answer
+{
+  int mStatus = 0;
+  header_list mHeaders; ///< Without framing and connection headers.
+  std::string mBody;
+  refusal_cause mCause = refusal_cause::None;
+};
+
+/// Serves one request of a caller: route, key, quota, target, repeats. One
+/// object for one request, used by the caller's task.
+class request_handler
+{
+public:
+  request_handler(proxy_services& aServices,
+                  http_request aRequest,
+                  steady_time aReceivedAt);
+  ~request_handler();
+
+  /// The final answer; nothing when the caller has left.
+  std::optional<caller_answer> Handle(yield_context aYield);
+
+  /// The caller has closed its connection: a request that may be repeated is
+  /// broken off.
+  void OnCallerGone();
+
+private:
+  struct attempt
+  {
+    std::shared_ptr<target_exchange> mExchange;
+    std::string mTarget;
+    steady_time mStartedAt;
+    std::optional<exchange_result> mResult;
+    bool mIsJudged = false;
+    bool mIsOverdue = false;
+  };
+
+  /// Outlives the handler in exchanges that finish in the background.
+  struct progress
+  {
+    std::vector<std::shared_ptr<attempt>> mAttempts;
+    event mChanged;
+  };
+
+  std::optional<caller_answer> Authorise(yield_context aYield);
+  std::optional<caller_answer> CheckQuota(yield_context aYield);
+  std::optional<caller_answer> Exchange(yield_context aYield);
+  std::optional<caller_answer> Judge(attempt& aAttempt);
+
+  /// Sends the request to one more target. The cause when it cannot.
+  refusal_cause StartAttempt();
+  void FinishAttempt(const std::shared_ptr<attempt>& aAttempt);
+  bool MayRepeat() const;
+  bool HasOpenAttempt() const;
+  void MarkOverdue();
+  steady_time NextWake(bool aIsHedgePossible) const;
+
+  caller_answer Refuse(int aStatus,
+                       refusal_cause aCause,
+                       duration aRetryAfter = duration(0)) const;
+  /// The answer when no further target can be tried.
+  caller_answer GiveUp(refusal_cause aCause);
+  caller_answer FromTarget(http_response aResponse) const;
+  void LogRequest(const std::optional<caller_answer>& aAnswer) const;
+
+  proxy_services& mServices;
+  http_request mRequest;
+  steady_time mReceivedAt;
+  steady_time mDeadline;
+  std::shared_ptr<const route_index> mRoutes;
+  const route_spec* mRoute = nullptr;
+  const organisation_spec* mOrganisation = nullptr;
+  std::string mRequestId;
+  std::string mService;
+  std::shared_ptr<target_request> mTargetRequest;
+  std::shared_ptr<progress> mProgress = std::make_shared<progress>();
+  request_fingerprint mFingerprint = 0;
+  std::vector<std::string> mTried;
+  std::uint32_t mArrivals = 0; ///< Sends that reached a target.
+  bool mMayHaveRun = false;
+  bool mIsCallerGone = false;
+  /// A target's own failure, handed on when no repeat succeeds.
+  std::optional<http_response> mTargetFailure;
+  const char* mQuotaSource = "none";
+};
+
+} // namespace cowslipline
--- /dev/null
+++ b/modules/routing/target_directory.cpp
@@ -0,0 +1,68 @@
+#include "modules/routing/target_directory.h"
+
+#include <algorithm>
+
+namespace cowslipline {
+
+void
+target_directory::Put(target_entry aEntry)
+{
+  Remove(aEntry.mId);
+  auto id = aEntry.mId;
+  const auto placed = mEntries.emplace(std::move(id), std::move(aEntry)).first;
+  mByService[placed->second.mService].emplace(placed->first, &placed->second);
+}
+
+void
+target_directory::Remove(std::string_view aId)
+{
+  const auto found = mEntries.find(aId);
+  if (found == mEntries.end()) {
+    return;
+  }
+  const auto service = mByService.find(found->second.mService);
+  service->second.erase(found->first);
+  if (service->second.empty()) {
+    mByService.erase(service);
+  }
+  mEntries.erase(found);
+}
+
+void
+target_directory::Retain(const std::vector<std::string>& aIds)
+{
+  std::vector<std::string> gone;
+  for (const auto& [id, entry] : mEntries) {
+    if (std::find(aIds.begin(), aIds.end(), id) == aIds.end()) {
+      gone.push_back(id);
+    }
+  }
+  for (const auto& id : gone) {
+    Remove(id);
+  }
+}
+
+const target_entry*
+target_directory::Find(std::string_view aId) const
+{
+  const auto found = mEntries.find(aId);
+  return found == mEntries.end() ? nullptr : &found->second;
+}
+
+std::vector<const target_entry*>
+target_directory::Ready(std::string_view aService) const
+{
+  std::vector<const target_entry*> ready;
+  const auto found = mByService.find(std::string(aService));
+  if (found == mByService.end()) {
+    return ready;
+  }
+  for (const auto& [id, entry] : found->second) {
+    if (entry->mPhase == target_phase::Ready) {
+      ready.push_back(entry);
+    }
+  }
+  return ready;
+}
+
+} // namespace cowslipline
--- /dev/null
+++ b/modules/sharing/member_table.cpp
@@ -0,0 +1,161 @@
+#include "modules/sharing/member_table.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+
+namespace cowslipline {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// A member without a registration that was heard within this time is alive:
+// registrations lapse while the store is away.
+constexpr duration kHeardValidity = 3s;
+
+// A member that does not reply may be frozen or cut off; asking it again costs
+// each request that waits for it a tenth of a second.
+constexpr duration kPassedOverTime = 1s;
+
+} // namespace
+
+member_table::member_table(fleet_member aSelf)
+  : mSelf(std::move(aSelf))
+{
+}
+
+void
+member_table::Put(const fleet_member& aMember)
+{
+  if (aMember.mName == mSelf.mName) {
+    return;
+  }
+  auto& state = mMembers[aMember.mName];
+  state.mMember = aMember;
+  state.mIsRegistered = true;
+  state.mPassedOverUntil = steady_time();
+  ++mEpoch;
+}
+
+void
+member_table::Remove(std::string_view aName, steady_time aNow)
+{
+  const auto found = mMembers.find(aName);
+  if (found == mMembers.end()) {
+    return;
+  }
+  ++mEpoch;
+  found->second.mIsRegistered = false;
+  if (!IsInUse(found->second, aNow)) {
+    mMembers.erase(found);
+  }
+}
+
+void
+member_table::Retain(const std::vector<std::string>& aNames, steady_time aNow)
+{
+  std::vector<std::string> gone;
+  for (const auto& [name, state] : mMembers) {
+    if (std::find(aNames.begin(), aNames.end(), name) == aNames.end()) {
+      gone.push_back(name);
+    }
+  }
+  for (const auto& name : gone) {
+    Remove(name, aNow);
+  }
+}
+
+void
+member_table::OnHeard(std::string_view aName, steady_time aNow)
+{
+  const auto found = mMembers.find(aName);
+  if (found != mMembers.end()) {
+    found->second.mHeardAt = aNow;
+    found->second.mPassedOverUntil = steady_time();
+  }
+}
+
+void
+member_table::OnNoReply(std::string_view aName, steady_time aNow)
+{
+  const auto found = mMembers.find(aName);
+  if (found != mMembers.end()) {
+    found->second.mPassedOverUntil = aNow + kPassedOverTime;
+  }
+}
+
+bool
+member_table::IsInUse(const member_state& aState, steady_time aNow) const
+{
+  const bool isHeard = aState.mHeardAt != steady_time() &&
+                       aNow - aState.mHeardAt < kHeardValidity;
+  return (aState.mIsRegistered || isHeard) && aNow >= aState.mPassedOverUntil;
+}
+
+std::size_t
+member_table::Count(steady_time aNow) const
+{
+  return 1 + static_cast<std::size_t>(std::count_if(
+               mMembers.begin(), mMembers.end(), [&](const auto& aEntry) {
+                 return IsInUse(aEntry.second, aNow);
+               }));
+}
+
+std::vector<const fleet_member*>
+member_table::OwnersOf(std::string_view aItem,
+                       std::size_t aCount,
+                       steady_time aNow) const
+{
+  const auto item = Hash64(aItem);
+  std::vector<std::pair<std::uint64_t, const fleet_member*>> weighted;
+  weighted.emplace_back(RendezvousWeight(mSelf.mName, item), &mSelf);
+  for (const auto& [name, state] : mMembers) {
+    if (IsInUse(state, aNow)) {
+      weighted.emplace_back(RendezvousWeight(name, item), &state.mMember);
+    }
+  }
+  const auto count = std::min(aCount, weighted.size());
+  std::partial_sort(
+    weighted.begin(),
+    weighted.begin() + static_cast<std::ptrdiff_t>(count),
+    weighted.end(),
+    [](const auto& aLeft, const auto& aRight) { return aLeft > aRight; });
+  std::vector<const fleet_member*> owners;
+  for (std::size_t i = 0; i < count; ++i) {
+    owners.push_back(weighted[i].second);
+  }
+  return owners;
+}
+
+std::vector<const fleet_member*>
+member_table::ZonePeers(steady_time aNow) const
+{
+  std::vector<const fleet_member*> peers;
+  for (const auto& [name, state] : mMembers) {
+    if (state.mMember.mAvailabilityZone == mSelf.mAvailabilityZone &&
+        IsInUse(state, aNow)) {
+      peers.push_back(&state.mMember);
+    }
+  }
+  return peers;
+}
+
+std::vector<const fleet_member*>
+member_table::Relays(std::uint64_t aTurn, steady_time aNow) const
+{
+  std::map<std::string_view, std::vector<const fleet_member*>> zones;
+  for (const auto& [name, state] : mMembers) {
+    if (state.mMember.mAvailabilityZone != mSelf.mAvailabilityZone &&
+        IsInUse(state, aNow)) {
+      zones[state.mMember.mAvailabilityZone].push_back(&state.mMember);
+    }
+  }
+  std::vector<const fleet_member*> relays;
+  for (const auto& [zone, members] : zones) {
+    relays.push_back(members[aTurn % members.size()]);
+  }
+  return relays;
+}
+
+} // namespace cowslipline
--- /dev/null
+++ b/modules/sharing/member_table.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <asio/ip/udp.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cowslipline {
+
+using udp_endpoint = asio::ip::udp::endpoint;
+
+/// An instance of the fleet as it registered itself.
+struct fleet_member
+{
+  std::string mName;
+  std::string mAvailabilityZone;
+  udp_endpoint mAddress; ///< Receives peer messages.
+};
+
+/// The instances of the fleet. Registrations come from the platform's store;
+/// when the store is away they may lapse, so a member that is still heard
+/// stays, and one that does not reply is passed over for a while.
+class member_table
+{
+public:
+  explicit member_table(fleet_member aSelf);
+
+  const fleet_member& Self() const { return mSelf; }
+
+  void Put(const fleet_member& aMember);
+  /// The registration is gone.
+  void Remove(std::string_view aName, steady_time aNow);
+  void Retain(const std::vector<std::string>& aNames, steady_time aNow);
+
+  void OnHeard(std::string_view aName, steady_time aNow);
+  void OnNoReply(std::string_view aName, steady_time aNow);
+
+  /// Members in use, this instance included.
+  std::size_t Count(steady_time aNow) const;
+
+  /// Members in use in the order in which they own the item: the second one
+  /// replaces the first while that does not reply.
+  std::vector<const fleet_member*> OwnersOf(std::string_view aItem,
+                                            std::size_t aCount,
+                                            steady_time aNow) const;
+
+  /// The other members in use of this instance's availability zone.
+  std::vector<const fleet_member*> ZonePeers(steady_time aNow) const;
+
+  /// One member in use of each other availability zone, by turns.
+  std::vector<const fleet_member*> Relays(std::uint64_t aTurn,
+                                          steady_time aNow) const;
+
+  /// Grows whenever the set of registrations changes.
+  std::uint64_t Epoch() const { return mEpoch; }
+
+private:
+  struct member_state
+  {
+    fleet_member mMember;
+    bool mIsRegistered = true;
+    steady_time mHeardAt;
+    steady_time mPassedOverUntil;
+  };
+
+  bool IsInUse(const member_state& aState, steady_time aNow) const;
+
+  fleet_member mSelf;
+  std::map<std::string, member_state, std::less<>> mMembers;
+  std::uint64_t mEpoch = 1;
+};
+
+} // namespace cowslipline
--- a/tests/gateway/loopback.cpp
+++ b/tests/gateway/loopback.cpp
@@ -1,6 +1,6 @@
 #include "tests/gateway/loopback.h"
 
-#include "modules/gateway/http_head.h"
+#include "core/http_head.h"
 
 #include <array>
 #include <chrono>
