Placement: confirmed failures do not count for the floor

Cause: at any time about a third of a service's targets fail most requests for seconds. The floor let only one of six be avoided, and an avoidance of 1 s made every second trial another loss. Ruled out: late evidence; the first failure reached the zone at once.

--- a/modules/placement/target_chooser.cpp
+++ b/modules/placement/target_chooser.cpp
@@ -65,28 +65,42 @@
                        const target_evidence& aEvidence,
                        steady_time aNow)
 {
-  // The floor: at most this many targets are avoided, the most suspect ones.
+  // The floor: of the targets that may be sound, at most this many are
+  // avoided, the most suspect ones. Those that failed again are not sound.
   const auto count = aCandidates.size();
-  const auto mostAvoided = static_cast<std::size_t>(
-    std::floor(static_cast<double>(count) * (1 - mFloorShare)));
-  std::vector<std::size_t> avoided;
+  std::vector<std::size_t> suspects;
+  std::vector<bool> isAvoided(count, false);
+  std::size_t confirmed = 0;
   for (std::size_t i = 0; i < count; ++i) {
-    if (aEvidence.UseOf(aCandidates[i].mId, aNow) == target_use::Avoided) {
-      avoided.push_back(i);
+    const auto use = aEvidence.UseOf(aCandidates[i].mId, aNow);
+    const bool isOut = use == target_use::Avoided ||
+                       (use == target_use::EarlyTrial &&
+                        !(aRequest.mIsRepeatable && aRequest.mTried.empty()));
+    if (!isOut) {
+      continue;
+    }
+    if (aEvidence.IsConfirmed(aCandidates[i].mId)) {
+      isAvoided[i] = true;
+      ++confirmed;
+    } else {
+      suspects.push_back(i);
     }
   }
-  std::sort(
-    avoided.begin(), avoided.end(), [&](std::size_t aLeft, std::size_t aRight) {
-      return aEvidence.Suspicion(aCandidates[aLeft].mId, aNow) >
-             aEvidence.Suspicion(aCandidates[aRight].mId, aNow);
-    });
-  if (avoided.size() > mostAvoided) {
-    avoided.resize(std::max<std::size_t>(mostAvoided, 1));
+  std::sort(suspects.begin(),
+            suspects.end(),
+            [&](std::size_t aLeft, std::size_t aRight) {
+              return aEvidence.Suspicion(aCandidates[aLeft].mId, aNow) >
+                     aEvidence.Suspicion(aCandidates[aRight].mId, aNow);
+            });
+  const auto mostAvoided = static_cast<std::size_t>(std::ceil(
+    static_cast<double>(count - confirmed) * (1 - mFloorShare)));
+  for (std::size_t i = 0; i < std::min(mostAvoided, suspects.size()); ++i) {
+    isAvoided[suspects[i]] = true;
   }
 
   const auto rankOf = [&](std::size_t aIndex) {
     const auto& id = aCandidates[aIndex].mId;
-    if (std::find(avoided.begin(), avoided.end(), aIndex) != avoided.end()) {
+    if (isAvoided[aIndex]) {
       return placement_rank::Avoided;
     }
     if (aEvidence.IsFull(id, aNow)) {
@@ -99,7 +113,7 @@
     // A request that may run again loses little if the trial fails. Of the
     // others a few make the trial, so that a target of a service without
     // repeatable requests returns too.
-    constexpr double kTrialShare = 0.15;
+    constexpr double kTrialShare = 0.1;
     const bool makesTrial = aRequest.mIsRepeatable
                               ? aRequest.mTried.empty()
                               : mRandom.Unit() < kTrialShare;
--- a/modules/placement/target_evidence.cpp
+++ b/modules/placement/target_evidence.cpp
@@ -13,17 +13,24 @@
 // speaks about the present.
 constexpr duration kHalfLife = 2s;
 
-// First avoidance after a failure. Four to eight requests of an availability
-// zone go elsewhere meanwhile.
-constexpr duration kFirstAvoidance = 1s;
+// First avoidance after a failure. A sound target loses one request in a
+// hundred, a failing one most of them: one failure speaks against the target.
+constexpr duration kFirstAvoidance = 2500ms;
 
 // Each failed trial doubles the avoidance up to this, the usual length of a
-// gray failure's rest.
-constexpr duration kLongestAvoidance = 4s;
+// gray failure.
+constexpr duration kLongestAvoidance = 8s;
 
-// A target that refuses connections is down until it has started again.
+// A target that refuses connections is down until it has started again, which
+// takes seconds; trials of it cost little.
 constexpr duration kUnreachableAvoidance = 1s;
 
+// The last part of an avoidance is open to trials by repeatable requests.
+constexpr int kEarlyTrialPart = 2;
+
+// Successes that end a trial: a failing target serves one request in six.
+constexpr int kSuccessesOfTrial = 2;
+
 // The time in which a full target works off a part of its queue.
 constexpr duration kFullTime = 250ms;
 
@@ -55,16 +62,20 @@
 {
   // Several requests were on their way when the first one failed: they are one
   // piece of evidence.
-  const bool isNew = aNow >= aRecord.mAvoidedUntil;
+  const bool isNew = !aRecord.mIsOnTrial || aNow >= aRecord.mTrialFrom;
   if (!isNew) {
+    aRecord.mIsConfirmed = true;
     return false;
   }
+  aRecord.mIsConfirmed = aRecord.mIsOnTrial;
   if (aRecord.mIsOnTrial) {
     aRecord.mFailedTrials = std::min(aRecord.mFailedTrials + 1, 4);
   }
   const auto length = std::min<duration>(
     kLongestAvoidance, aShortest * (1 << aRecord.mFailedTrials));
   aRecord.mAvoidedUntil = aNow + length;
+  aRecord.mTrialFrom = aNow + length / kEarlyTrialPart;
+  aRecord.mTrialSuccesses = 0;
   aRecord.mIsOnTrial = true;
   return true;
 }
@@ -80,14 +91,18 @@
   switch (aOutcome) {
     case exchange_outcome::Served: {
       record.mSuccesses += 1;
-      const bool isRecovered =
-        record.mIsOnTrial && aNow >= record.mAvoidedUntil;
-      if (isRecovered) {
+      // Answers to requests that were on their way when the target failed say
+      // nothing about its present state.
+      if (!record.mIsOnTrial || aNow < record.mTrialFrom) {
+        return false;
+      }
+      if (++record.mTrialSuccesses >= kSuccessesOfTrial) {
         record.mIsOnTrial = false;
         record.mFailedTrials = 0;
         record.mFailures = 0;
+        record.mAvoidedUntil = aNow;
       }
-      return isRecovered;
+      return true;
     }
     case exchange_outcome::Failed: {
       record.mFailures += 1;
@@ -127,10 +142,23 @@
   if (found == mRecords.end()) {
     return target_use::InUse;
   }
-  if (aNow < found->second.mAvoidedUntil) {
+  const auto& record = found->second;
+  if (!record.mIsOnTrial) {
+    return target_use::InUse;
+  }
+  if (aNow < record.mTrialFrom) {
     return target_use::Avoided;
   }
-  return found->second.mIsOnTrial ? target_use::Trial : target_use::InUse;
+  return aNow < record.mAvoidedUntil ? target_use::EarlyTrial
+                                     : target_use::Trial;
+}
+
+bool
+target_evidence::IsConfirmed(std::string_view aTarget) const
+{
+  const auto found = mRecords.find(std::string(aTarget));
+  return found != mRecords.end() && found->second.mIsOnTrial &&
+         found->second.mIsConfirmed;
 }
 
 bool
--- a/modules/placement/target_evidence.h
+++ b/modules/placement/target_evidence.h
@@ -26,8 +26,9 @@
 enum class target_use
 {
   InUse,
-  Trial,   ///< Was avoided; a few requests find out whether it is well again.
-  Avoided, ///< Gets no requests while others are left.
+  Trial,      ///< Was avoided; requests find out whether it is well again.
+  EarlyTrial, ///< As above, by requests that lose nothing when it fails.
+  Avoided,    ///< Gets no requests while others are left.
 };
 
 /// What the fleet has seen of each target lately. One instance sends a target
@@ -44,6 +45,10 @@
 
   target_use UseOf(std::string_view aTarget, steady_time aNow) const;
 
+  /// True when more than one failure speaks against the target: it is not
+  /// sound, and the floor does not count it.
+  bool IsConfirmed(std::string_view aTarget) const;
+
   /// True while the target answers that it is full.
   bool IsFull(std::string_view aTarget, steady_time aNow) const;
 
@@ -62,8 +67,11 @@
     steady_time mUpdated;
     steady_time mAvoidedUntil;
     steady_time mFullUntil;
-    bool mIsOnTrial = false;
+    steady_time mTrialFrom;
+    bool mIsOnTrial = false; ///< Avoided, or not yet proven well again.
+    bool mIsConfirmed = false;
     int mFailedTrials = 0;
+    int mTrialSuccesses = 0;
   };
 
   static void Decay(record& aRecord, steady_time aNow);
