Owners decide repeats and quotas over the fleet

Cause: equal parts of the retry budget are too small for one instance, so most repeats were refused while the fleet's budget was unused; a token bucket gives the burst once, the quota gives it in every window. Ruled out: lost questions; every admission was decided by the first owner.

--- a/apps/cowslipline-edge/edge_settings.cpp
+++ b/apps/cowslipline-edge/edge_settings.cpp
@@ -104,10 +104,14 @@
     reader.Seconds("bounds.revocation_seconds", bounds.mRevocation);
   bounds.mFloorShare =
     reader.Number("bounds.floor_share", bounds.mFloorShare, 0, 1);
-  bounds.mRetryRatio =
-    reader.Number("bounds.retry_ratio", bounds.mRetryRatio, 0, 10);
-  bounds.mRetryExtra =
-    reader.Number("bounds.retry_extra", bounds.mRetryExtra, 0, 1e6);
+  auto& owners = bounds.mOwners;
+  owners.mQuotaWindow =
+    reader.Seconds("bounds.quota_window_seconds", owners.mQuotaWindow);
+  auto& retries = owners.mRetries;
+  retries.mRatio = reader.Number("bounds.retry_ratio", retries.mRatio, 0, 10);
+  retries.mExtra = reader.Number("bounds.retry_extra", retries.mExtra, 0, 1e6);
+  retries.mWindow =
+    reader.Seconds("bounds.retry_window_seconds", retries.mWindow);
   constexpr double kMebibyte = 1024.0 * 1024;
   constexpr double kBufferedPart = 0.25;
   const double memory = reader.Number("limits.memory_mb", 256, 16, 1e6);
--- a/modules/placement/retry_budget.cpp
+++ b/modules/placement/retry_budget.cpp
@@ -4,40 +4,52 @@
 
 namespace cowslipline {
 
-void
-retry_budget::SetInstances(std::size_t aCount)
-{
-  mInstances = std::max<std::size_t>(1, aCount);
-}
+namespace {
 
-double
-retry_budget::MostHeld() const
-{
-  return std::max(1.0, mExtra / static_cast<double>(mInstances));
-}
+// Part of the bound that is used. The rest covers questions of one window that
+// report requests of the window before.
+constexpr double kUsedPart = 0.85;
 
-retry_budget::account&
-retry_budget::AccountOf(std::string_view aService)
-{
-  auto& account = mAccounts[std::string(aService)];
-  if (account.mIsNew) {
-    account.mIsNew = false;
-    account.mLeft = std::min(1.0, mExtra / static_cast<double>(mInstances));
-  }
-  return account;
-}
+// Of the extra, this part may be spent at once; the remainder is earned over
+// the window, so that any window gets the whole at most.
+constexpr double kAtOncePart = 0.5;
+
+// An owner that took over does not know what the one before it has granted.
+constexpr double kUnknownPastPart = 0.2;
 
-void
-retry_budget::OnRequest(std::string_view aService)
+double
+Seconds(duration aDuration)
 {
-  auto& account = AccountOf(aService);
-  account.mLeft = std::min(MostHeld(), account.mLeft + mRatio);
+  return std::chrono::duration<double>(aDuration).count();
 }
 
+} // namespace
+
 bool
-retry_budget::Take(std::string_view aService)
+retry_budget::Take(std::string_view aService,
+                   std::uint32_t aRequests,
+                   std::uint64_t aEpoch,
+                   steady_time aNow)
 {
-  auto& account = AccountOf(aService);
+  const double extra = mLimit.mExtra * kUsedPart;
+  const double most = extra * kAtOncePart;
+  const double rate = extra * (1 - kAtOncePart) / Seconds(mLimit.mWindow);
+  const auto placed = mAccounts.try_emplace(std::string(aService));
+  auto& account = placed.first->second;
+  if (placed.second) {
+    account.mEpoch = aEpoch;
+    account.mFilledAt = aNow;
+    account.mLeft =
+      std::min(most * kUnknownPastPart, rate * Seconds(aNow - mStart));
+  }
+  if (account.mEpoch != aEpoch) {
+    account.mEpoch = aEpoch;
+    account.mLeft = std::min(account.mLeft, most * kUnknownPastPart);
+  }
+  account.mLeft += rate * Seconds(aNow - account.mFilledAt) +
+                   mLimit.mRatio * kUsedPart * aRequests;
+  account.mLeft = std::min(account.mLeft, most);
+  account.mFilledAt = aNow;
   if (account.mLeft < 1) {
     return false;
   }
--- a/modules/placement/retry_budget.h
+++ b/modules/placement/retry_budget.h
@@ -2,53 +2,52 @@
 
 #include "core/time.h"
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 
 namespace cowslipline {
 
-/// This instance's part of the fleet's bound on repeated sends: in any window
-/// a service gets at most `ratio` x its requests + `extra` arrivals beyond the
-/// first of each request. Answers the load of a fault that makes most first
-/// sends fail: without a bound, repeats would double it.
-///
-/// Each instance earns the ratio from its own requests and holds an equal part
-/// of the extra, so no messages are needed.
+/// The fleet's bound on repeated sends: in any window a service gets at most
+/// `ratio` x its requests + `extra` arrivals beyond the first of each request.
+struct retry_limit
+{
+  double mRatio = 0.2;
+  double mExtra = 60;
+  duration mWindow = std::chrono::seconds(10);
+};
+
+/// Accounts of the services that this instance owns. Answers the load of a
+/// fault that makes most first sends fail: without a bound, repeats would
+/// double it. Instances ask the owner for each repeat and report with it how
+/// many requests they have had since they asked last.
 class retry_budget
 {
 public:
-  /// aExtra: arrivals that the whole fleet may add in one window.
-  retry_budget(double aRatio, double aExtra)
-    : mRatio(aRatio * kUsedPart)
-    , mExtra(aExtra * kUsedPart)
+  retry_budget(const retry_limit& aLimit, steady_time aStart)
+    : mLimit(aLimit)
+    , mStart(aStart)
   {
   }
 
-  /// Instances that share the extra.
-  void SetInstances(std::size_t aCount);
-
-  void OnRequest(std::string_view aService);
-
-  /// Takes one repeated send; false when there is none left.
-  bool Take(std::string_view aService);
+  /// Takes one repeated send; false when there is none left. aRequests: the
+  /// asking instance's requests of the service since its last question.
+  bool Take(std::string_view aService,
+            std::uint32_t aRequests,
+            std::uint64_t aEpoch,
+            steady_time aNow);
 
 private:
-  /// Repeats that were earned in one window count in the next one as well.
-  static constexpr double kUsedPart = 0.8;
-
   struct account
   {
     double mLeft = 0;
-    bool mIsNew = true;
+    steady_time mFilledAt;
+    std::uint64_t mEpoch = 0;
   };
 
-  double MostHeld() const;
-  account& AccountOf(std::string_view aService);
-
-  double mRatio;
-  double mExtra;
-  std::size_t mInstances = 1;
+  retry_limit mLimit;
+  steady_time mStart;
   std::unordered_map<std::string, account> mAccounts;
 };
 
--- a/modules/proxy/proxy_instance.cpp
+++ b/modules/proxy/proxy_instance.cpp
@@ -71,13 +71,16 @@
   , mChooser(aSettings.mAvailabilityZone,
              aSettings.mBounds.mFloorShare,
              mRandom.Next())
-  , mRetries(aSettings.mBounds.mRetryRatio, aSettings.mBounds.mRetryExtra)
-  , mQuotas(aScheduler, mView.mMembers, *mLink, mRandom.Next() >> 1)
+  , mOwners(aScheduler,
+            mView.mMembers,
+            *mLink,
+            aSettings.mBounds.mOwners,
+            mRandom.Next() >> 1)
   , mReports(aScheduler, mView.mMembers, *mLink, mEvidence, mChooser, mCrashes)
   , mServices{ aScheduler, aScheduler.Context(), mSettings, std::move(aNames),
-               mView,      mEvidence,            mChooser,  mRetries,
-               mCrashes,   mQuotas,              mReports,  mPool,
-               mMetrics,   mRandom }
+               mView,      mEvidence,            mChooser,  mCrashes,
+               mOwners,    mReports,             mPool,     mMetrics,
+               mRandom }
   , mSync(aScheduler,
           aFeed,
           mView,
@@ -150,13 +153,17 @@
     {
       // Without a configuration nothing is known of the organisation.
       if (mInstance.mView.mRoutes) {
-        mInstance.mQuotas.OnQuestion(
+        mInstance.mOwners.OnQuestion(
           aQuestion, mInstance.LimitOf(aQuestion.mOrganisation), mFrom);
       }
     }
-    void operator()(const quota_answer& aAnswer) const
+    void operator()(const retry_question& aQuestion) const
     {
-      mInstance.mQuotas.OnAnswer(aAnswer);
+      mInstance.mOwners.OnQuestion(aQuestion, mFrom);
+    }
+    void operator()(const owner_answer& aAnswer) const
+    {
+      mInstance.mOwners.OnAnswer(aAnswer);
     }
   };
   std::visit(visitor{ *this, aMessage, aFrom }, aMessage.mPayload);
@@ -172,8 +179,7 @@
     mEvidence.Prune(now);
     mChooser.Prune(now);
     mCrashes.Prune(now);
-    mQuotas.Prune();
-    mRetries.SetInstances(mView.mMembers.Count(now));
+    mOwners.Prune();
   }
 }
 
--- a/modules/proxy/proxy_instance.h
+++ b/modules/proxy/proxy_instance.h
@@ -55,9 +55,8 @@
   platform_view mView;
   target_evidence mEvidence;
   target_chooser mChooser;
-  retry_budget mRetries;
   crash_guard mCrashes;
-  quota_client mQuotas;
+  owner_client mOwners;
   fleet_evidence mReports;
   upstream_pool mPool;
   proxy_services mServices;
--- a/modules/proxy/proxy_settings.h
+++ b/modules/proxy/proxy_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/tcp_stream.h"
+#include "modules/sharing/owner_client.h"
 
 #include <asio/ip/udp.hpp>
 
@@ -13,10 +14,7 @@
   duration mRevocation = std::chrono::seconds(5);
   /// Share of a service's sound targets that stays in use.
   double mFloorShare = 0.7;
-  /// Repeated sends for each request of a service.
-  double mRetryRatio = 0.2;
-  /// Repeated sends that the fleet may add in one window.
-  double mRetryExtra = 60;
+  owner_limits mOwners;
 };
 
 struct proxy_settings
--- a/modules/proxy/request_handler.cpp
+++ b/modules/proxy/request_handler.cpp
@@ -131,6 +131,8 @@
       return "over_memory";
     case refusal_cause::CallerSlow:
       return "caller_slow";
+    case refusal_cause::CallerGone:
+      return "caller_gone";
   }
   return "unknown";
 }
@@ -262,7 +264,7 @@
 std::optional<caller_answer>
 request_handler::CheckQuota(yield_context aYield)
 {
-  const auto admission = mServices.mQuotas.Admit(
+  const auto admission = mServices.mOwners.Admit(
     mOrganisation->mName,
     { mOrganisation->mRate, mOrganisation->mBurst },
     aYield);
@@ -307,9 +309,9 @@
     head.mFraming.mIsChunked || head.mFraming.mLength.has_value();
   mTargetRequest->mBody = std::move(mRequest.mBody);
   mTargetRequest->mRequestId = mRequestId;
-  mServices.mRetries.OnRequest(mService);
+  mServices.mOwners.OnRequest(mService);
 
-  auto cause = StartAttempt();
+  auto cause = StartAttempt(aYield);
   if (cause != refusal_cause::None) {
     return GiveUp(cause);
   }
@@ -343,7 +345,7 @@
       if (mMayHaveRun && mRoute->mRepeat != repeat_rule::Idempotent) {
         return GiveUp(refusal_cause::OutcomeUnknown);
       }
-      cause = StartAttempt();
+      cause = StartAttempt(aYield);
       if (cause != refusal_cause::None) {
         return GiveUp(cause);
       }
@@ -354,7 +356,7 @@
     if (isHedgeDue) {
       isHedged = true;
       // Without a second target the first one is waited for.
-      StartAttempt();
+      StartAttempt(aYield);
     }
   }
 }
@@ -415,12 +417,20 @@
 }
 
 refusal_cause
-request_handler::StartAttempt()
+request_handler::StartAttempt(yield_context aYield)
 {
-  const auto now = mServices.mScheduler.Now();
   if (mArrivals >= mRoute->mAttempts || mTried.size() >= kMostTried) {
     return refusal_cause::AttemptsUsed;
   }
+  // The first arrival of a request is free; every further one counts. Asked
+  // for first: all that follows is decided at the moment of sending.
+  if (mArrivals > 0 && !mServices.mOwners.TakeRetry(mService, aYield)) {
+    return refusal_cause::RetryBudgetSpent;
+  }
+  if (mIsCallerGone) {
+    return refusal_cause::CallerGone;
+  }
+  const auto now = mServices.mScheduler.Now();
   if (!mRoute->mIsPublic && mOrganisation != nullptr &&
       !mServices.mView.mFreshness.IsFresh(now)) {
     return refusal_cause::ConfigurationStale;
@@ -448,10 +458,6 @@
   if (!chosen) {
     return refusal_cause::NoTarget;
   }
-  // The first arrival of a request is free; every further one counts.
-  if (mArrivals > 0 && !mServices.mRetries.Take(mService)) {
-    return refusal_cause::RetryBudgetSpent;
-  }
   const auto& target = *ready[*chosen];
   const auto started = std::make_shared<attempt>();
   started->mTarget = target.mId;
--- a/modules/proxy/request_handler.h
+++ b/modules/proxy/request_handler.h
@@ -29,6 +29,7 @@
   TooLarge,
   OverMemory,
   CallerSlow,
+  CallerGone,
 };
 
 const char*
@@ -83,7 +84,7 @@
   std::optional<caller_answer> Judge(attempt& aAttempt);
 
   /// Sends the request to one more target. The cause when it cannot.
-  refusal_cause StartAttempt();
+  refusal_cause StartAttempt(yield_context aYield);
   void FinishAttempt(const std::shared_ptr<attempt>& aAttempt);
   bool MayRepeat() const;
   bool HasOpenAttempt() const;
--- a/modules/sharing/quota_client.cpp
+++ b/modules/sharing/owner_client.cpp
@@ -1,4 +1,4 @@
-#include "modules/sharing/quota_client.h"
+#include "modules/sharing/owner_client.h"
 
 namespace cowslipline {
 
@@ -15,59 +15,86 @@
 // owner does not count these.
 constexpr double kLocalPart = 0.5;
 
+constexpr std::size_t kOwners = 2;
+
 } // namespace
 
-quota_client::quota_client(scheduler& aScheduler,
+owner_client::owner_client(scheduler& aScheduler,
                            member_table& aMembers,
                            peer_link& aLink,
+                           const owner_limits& aLimits,
                            std::uint64_t aSeed)
   : mScheduler(aScheduler)
   , mMembers(aMembers)
   , mLink(aLink)
-  , mBuckets(aScheduler.Now())
-  , mLocalShares(aScheduler.Now())
+  , mQuotas(aLimits.mQuotaWindow, aScheduler.Now())
+  , mLocalShares(aLimits.mQuotaWindow, aScheduler.Now())
+  , mRetries(aLimits.mRetries, aScheduler.Now())
   , mNextId(aSeed)
 {
 }
 
+std::vector<fleet_member>
+owner_client::OwnersOf(const std::string& aItem) const
+{
+  std::vector<fleet_member> owners;
+  for (const auto* owner :
+       mMembers.OwnersOf(aItem, kOwners, mScheduler.Now())) {
+    owners.push_back(*owner);
+  }
+  return owners;
+}
+
+template<typename Question>
+std::optional<quota_decision>
+owner_client::Ask(Question aQuestion,
+                  const fleet_member& aOwner,
+                  duration aWait,
+                  yield_context aYield)
+{
+  const auto id = mNextId++;
+  aQuestion.mId = id;
+  const auto question = std::make_shared<pending_question>();
+  mPending.emplace(id, question);
+  mLink.Send(aQuestion, aOwner.mAddress);
+  question->mAnswered.Wait(mScheduler, aWait, aYield);
+  mPending.erase(id);
+  return question->mDecision;
+}
+
 quota_admission
-quota_client::Admit(const std::string& aOrganisation,
+owner_client::Admit(const std::string& aOrganisation,
                     const quota_limit& aLimit,
                     yield_context aYield)
 {
   if (aLimit.mRate <= 0) {
     return { { true, duration(0) }, quota_source::Unlimited };
   }
-  const auto ownItself = [&] {
-    return quota_admission{ mBuckets.Admit(aOrganisation,
-                                           aLimit,
-                                           mMembers.Epoch(),
-                                           mScheduler.Now()),
-                            quota_source::Owner };
+  const auto admitHere = [&] {
+    return quota_admission{
+      mQuotas.Admit(
+        aOrganisation, aLimit, mMembers.Epoch(), mScheduler.Now()),
+      quota_source::Owner
+    };
   };
-  // Copied: the table may change while the reply is awaited.
-  std::vector<fleet_member> owners;
-  for (const auto* owner :
-       mMembers.OwnersOf(aOrganisation, 2, mScheduler.Now())) {
-    owners.push_back(*owner);
-  }
+  const auto owners = OwnersOf(aOrganisation);
   const auto& self = mMembers.Self().mName;
   if (owners[0].mName == self) {
-    return ownItself();
+    return admitHere();
   }
+  const quota_question question{ 0, aOrganisation };
   // Asked twice: a datagram is lost now and then.
   for (const auto wait : { kFirstWait, kSecondWait }) {
-    if (const auto decision = Ask(aOrganisation, owners[0], wait, aYield)) {
+    if (const auto decision = Ask(question, owners[0], wait, aYield)) {
       return { *decision, quota_source::Peer };
     }
   }
   mMembers.OnNoReply(owners[0].mName, mScheduler.Now());
   if (owners.size() > 1 && owners[1].mName == self) {
-    return ownItself();
+    return admitHere();
   }
   if (owners.size() > 1) {
-    if (const auto decision =
-          Ask(aOrganisation, owners[1], kSecondWait, aYield)) {
+    if (const auto decision = Ask(question, owners[1], kSecondWait, aYield)) {
       return { *decision, quota_source::SecondOwner };
     }
     mMembers.OnNoReply(owners[1].mName, mScheduler.Now());
@@ -75,44 +102,58 @@
   const double part =
     kLocalPart / static_cast<double>(mMembers.Count(mScheduler.Now()));
   return { mLocalShares.Admit(aOrganisation,
-                              { aLimit.mRate * part, 1 },
+                              { aLimit.mRate * part, 0 },
                               0,
                               mScheduler.Now()),
            quota_source::LocalShare };
 }
 
-std::optional<quota_decision>
-quota_client::Ask(const std::string& aOrganisation,
-                  const fleet_member& aOwner,
-                  duration aWait,
-                  yield_context aYield)
+bool
+owner_client::TakeRetry(const std::string& aService, yield_context aYield)
 {
-  const auto id = mNextId++;
-  const auto question = std::make_shared<pending_question>();
-  mPending.emplace(id, question);
-  mLink.Send(quota_question{ id, aOrganisation }, aOwner.mAddress);
-  question->mAnswered.Wait(mScheduler, aWait, aYield);
-  mPending.erase(id);
-  return question->mDecision;
+  const auto requests = std::exchange(mRequests[aService], 0);
+  const auto owners = OwnersOf("retries of " + aService);
+  if (owners[0].mName == mMembers.Self().mName) {
+    return mRetries.Take(
+      aService, requests, mMembers.Epoch(), mScheduler.Now());
+  }
+  const auto decision =
+    Ask(retry_question{ 0, aService, requests }, owners[0], kFirstWait, aYield);
+  if (!decision) {
+    mMembers.OnNoReply(owners[0].mName, mScheduler.Now());
+    return false;
+  }
+  return decision->mIsAdmitted;
 }
 
 void
-quota_client::OnQuestion(const quota_question& aQuestion,
+owner_client::OnQuestion(const quota_question& aQuestion,
                          const quota_limit& aLimit,
                          const udp_endpoint& aFrom)
 {
-  const auto decision = mBuckets.Admit(
+  const auto decision = mQuotas.Admit(
     aQuestion.mOrganisation, aLimit, mMembers.Epoch(), mScheduler.Now());
   const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
     decision.mRetryAfter);
-  mLink.Send(quota_answer{ aQuestion.mId,
+  mLink.Send(owner_answer{ aQuestion.mId,
                            decision.mIsAdmitted,
                            static_cast<std::uint32_t>(wait.count()) },
              aFrom);
 }
 
 void
-quota_client::OnAnswer(const quota_answer& aAnswer)
+owner_client::OnQuestion(const retry_question& aQuestion,
+                         const udp_endpoint& aFrom)
+{
+  const bool isGranted = mRetries.Take(aQuestion.mService,
+                                       aQuestion.mRequests,
+                                       mMembers.Epoch(),
+                                       mScheduler.Now());
+  mLink.Send(owner_answer{ aQuestion.mId, isGranted, 0 }, aFrom);
+}
+
+void
+owner_client::OnAnswer(const owner_answer& aAnswer)
 {
   const auto found = mPending.find(aAnswer.mId);
   if (found == mPending.end()) {
@@ -125,9 +166,9 @@
 }
 
 void
-quota_client::Prune()
+owner_client::Prune()
 {
-  mBuckets.Prune(mScheduler.Now());
+  mQuotas.Prune(mScheduler.Now());
   mLocalShares.Prune(mScheduler.Now());
 }
 
--- a/modules/sharing/quota_client.h
+++ b/modules/sharing/owner_client.h
@@ -1,11 +1,14 @@
 #pragma once
 
-#include "core/random.h"
+#include "core/scheduler.h"
+#include "modules/placement/retry_budget.h"
 #include "modules/sharing/member_table.h"
 #include "modules/sharing/peer_link.h"
-#include "modules/sharing/quota_bucket.h"
+#include "modules/sharing/quota_window.h"
 
+#include <optional>
 #include <unordered_map>
+#include <utility>
 
 namespace cowslipline {
 
@@ -25,27 +28,43 @@
   quota_source mSource = quota_source::Unlimited;
 };
 
-/// Admits requests by the fleet-wide quota of their organisation: asks the
-/// organisation's owner with one datagram, and the second owner when it does
-/// not reply.
-class quota_client
+struct owner_limits
+{
+  duration mQuotaWindow = std::chrono::seconds(5);
+  retry_limit mRetries;
+};
+
+/// Decisions that count over the whole fleet: the quotas of organisations and
+/// the retry budgets of services. Rendezvous hashing over the members names an
+/// owner for each; the others ask it with one datagram, and the second owner
+/// when it does not reply.
+class owner_client
 {
 public:
-  quota_client(scheduler& aScheduler,
+  owner_client(scheduler& aScheduler,
                member_table& aMembers,
                peer_link& aLink,
+               const owner_limits& aLimits,
                std::uint64_t aSeed);
 
   quota_admission Admit(const std::string& aOrganisation,
                         const quota_limit& aLimit,
                         yield_context aYield);
 
-  /// A question of another instance. aLimit: the organisation's limit in this
+  /// Counts a request towards the budget of its service.
+  void OnRequest(const std::string& aService) { ++mRequests[aService]; }
+
+  /// Takes one repeated send; false when there is none left or no owner
+  /// replies.
+  bool TakeRetry(const std::string& aService, yield_context aYield);
+
+  /// Questions of another instance. aLimit: the organisation's limit in this
   /// instance's configuration.
   void OnQuestion(const quota_question& aQuestion,
                   const quota_limit& aLimit,
                   const udp_endpoint& aFrom);
-  void OnAnswer(const quota_answer& aAnswer);
+  void OnQuestion(const retry_question& aQuestion, const udp_endpoint& aFrom);
+  void OnAnswer(const owner_answer& aAnswer);
 
   void Prune();
 
@@ -56,7 +75,12 @@
     event mAnswered;
   };
 
-  std::optional<quota_decision> Ask(const std::string& aOrganisation,
+  /// This instance and the next owner of an item. Copies: the table may change
+  /// while a reply is awaited.
+  std::vector<fleet_member> OwnersOf(const std::string& aItem) const;
+
+  template<typename Question>
+  std::optional<quota_decision> Ask(Question aQuestion,
                                     const fleet_member& aOwner,
                                     duration aWait,
                                     yield_context aYield);
@@ -64,9 +88,11 @@
   scheduler& mScheduler;
   member_table& mMembers;
   peer_link& mLink;
-  quota_buckets mBuckets;
+  quota_windows mQuotas;
   /// Used while no owner replies: an equal part of each rate.
-  quota_buckets mLocalShares;
+  quota_windows mLocalShares;
+  retry_budget mRetries;
+  std::unordered_map<std::string, std::uint32_t> mRequests;
   std::uint64_t mNextId;
   std::unordered_map<std::uint64_t, std::shared_ptr<pending_question>> mPending;
 };
--- a/modules/sharing/peer_message.cpp
+++ b/modules/sharing/peer_message.cpp
@@ -16,7 +16,8 @@
   Crash,
   Load,
   QuotaQuestion,
-  QuotaAnswer,
+  RetryQuestion,
+  OwnerAnswer,
 };
 
 json
@@ -60,9 +61,20 @@
 }
 
 json
-Encode(const std::string& aSender, const quota_answer& aAnswer)
+Encode(const std::string& aSender, const retry_question& aQuestion)
 {
-  return { kProtocolVersion,    static_cast<int>(message_kind::QuotaAnswer),
+  return { kProtocolVersion,
+           static_cast<int>(message_kind::RetryQuestion),
+           aSender,
+           aQuestion.mId,
+           aQuestion.mService,
+           aQuestion.mRequests };
+}
+
+json
+Encode(const std::string& aSender, const owner_answer& aAnswer)
+{
+  return { kProtocolVersion,    static_cast<int>(message_kind::OwnerAnswer),
            aSender,             aAnswer.mId,
            aAnswer.mIsAdmitted, aAnswer.mRetryAfterMs };
 }
@@ -117,9 +129,14 @@
         return quota_question{ aFields[3], aFields[4] };
       }
       break;
-    case message_kind::QuotaAnswer:
+    case message_kind::RetryQuestion:
+      if (isCount(3) && isText(4) && isCount(5)) {
+        return retry_question{ aFields[3], aFields[4], aFields[5] };
+      }
+      break;
+    case message_kind::OwnerAnswer:
       if (isCount(3) && isFlag(4) && isCount(5)) {
-        return quota_answer{ aFields[3], aFields[4], aFields[5] };
+        return owner_answer{ aFields[3], aFields[4], aFields[5] };
       }
       break;
   }
--- a/modules/sharing/peer_message.h
+++ b/modules/sharing/peer_message.h
@@ -41,7 +41,17 @@
   std::string mOrganisation;
 };
 
-struct quota_answer
+/// Asks the owner of a service's retry budget for one repeated send.
+struct retry_question
+{
+  std::uint64_t mId = 0;
+  std::string mService;
+  /// The sender's requests of the service since it asked last.
+  std::uint32_t mRequests = 0;
+};
+
+/// Answers either question.
+struct owner_answer
 {
   std::uint64_t mId = 0;
   bool mIsAdmitted = false;
@@ -53,7 +63,8 @@
                                   crash_report,
                                   load_report,
                                   quota_question,
-                                  quota_answer>;
+                                  retry_question,
+                                  owner_answer>;
 
 struct peer_message
 {
