--- a/apps/cowslipline-edge/edge_settings.cpp
+++ b/apps/cowslipline-edge/edge_settings.cpp
@@ -33,7 +33,7 @@
   tcp_endpoint Endpoint(const char* aPath)
   {
     const auto text = Text(aPath);
-    const auto endpoint = ParseEndpoint(text);
+    const auto endpoint = ParseIpEndpoint(text);
     if (!endpoint && !text.empty()) {
       mMistakes.push_back(std::string(aPath) + ": expected IP:PORT, found '" +
                           text + "'");
--- a/core/tcp_stream.cpp
+++ b/core/tcp_stream.cpp
@@ -34,7 +34,7 @@
 } // namespace
 
 result<tcp_endpoint>
-ParseEndpoint(std::string_view aText)
+ParseIpEndpoint(std::string_view aText)
 {
   const auto colon = aText.rfind(':');
   if (colon == aText.npos) {
--- a/core/tcp_stream.h
+++ b/core/tcp_stream.h
@@ -17,7 +17,7 @@
 
 /// Parses "IP:PORT". Errors: errc::MessageMalformed.
 result<tcp_endpoint>
-ParseEndpoint(std::string_view aText);
+ParseIpEndpoint(std::string_view aText);
 
 /// A TCP connection for one task, with a deadline on every operation and a
 /// buffer for bytes that were read ahead. Errors are those of the socket
--- a/modules/placement/retry_budget.cpp
+++ b/modules/placement/retry_accounts.cpp
@@ -1,4 +1,4 @@
-#include "modules/placement/retry_budget.h"
+#include "modules/placement/retry_accounts.h"
 
 #include <algorithm>
 
@@ -26,7 +26,7 @@
 } // namespace
 
 bool
-retry_budget::Take(std::string_view aService,
+retry_accounts::Take(std::string_view aService,
                    std::uint32_t aRequests,
                    std::uint64_t aEpoch,
                    steady_time aNow)
--- a/modules/placement/retry_budget.h
+++ b/modules/placement/retry_accounts.h
@@ -22,10 +22,10 @@
 /// fault that makes most first sends fail: without a bound, repeats would
 /// double it. Instances ask the owner for each repeat and report with it how
 /// many requests they have had since they asked last.
-class retry_budget
+class retry_accounts
 {
 public:
-  retry_budget(const retry_limit& aLimit, steady_time aStart)
+  retry_accounts(const retry_limit& aLimit, steady_time aStart)
     : mLimit(aLimit)
     , mStart(aStart)
   {
--- a/modules/placement/target_chooser.cpp
+++ b/modules/placement/target_chooser.cpp
@@ -62,7 +62,7 @@
 std::optional<std::size_t>
 target_chooser::Choose(const std::vector<placement_candidate>& aCandidates,
                        const placement_request& aRequest,
-                       const target_evidence& aEvidence,
+                       const target_records& aEvidence,
                        steady_time aNow)
 {
   // The floor: of the targets that may be sound, at most this many are
@@ -169,7 +169,7 @@
 
 bool
 target_chooser::AreAllFull(const std::vector<placement_candidate>& aCandidates,
-                           const target_evidence& aEvidence,
+                           const target_records& aEvidence,
                            steady_time aNow)
 {
   return !aCandidates.empty() &&
--- a/modules/placement/target_chooser.h
+++ b/modules/placement/target_chooser.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/random.h"
-#include "modules/placement/target_evidence.h"
+#include "modules/placement/target_records.h"
 
 #include <optional>
 #include <string>
@@ -45,13 +45,13 @@
   std::optional<std::size_t> Choose(
     const std::vector<placement_candidate>& aCandidates,
     const placement_request& aRequest,
-    const target_evidence& aEvidence,
+    const target_records& aEvidence,
     steady_time aNow);
 
   /// True when every candidate answers that it is full: another send would
   /// only be refused.
   static bool AreAllFull(const std::vector<placement_candidate>& aCandidates,
-                         const target_evidence& aEvidence,
+                         const target_records& aEvidence,
                          steady_time aNow);
 
   /// A request of this instance is at the target.
--- a/modules/placement/target_evidence.cpp
+++ b/modules/placement/target_records.cpp
@@ -1,4 +1,4 @@
-#include "modules/placement/target_evidence.h"
+#include "modules/placement/target_records.h"
 
 #include <algorithm>
 #include <cmath>
@@ -44,7 +44,7 @@
 } // namespace
 
 void
-target_evidence::Decay(record& aRecord, steady_time aNow)
+target_records::Decay(record& aRecord, steady_time aNow)
 {
   const auto passed = aNow - aRecord.mUpdated;
   if (passed > duration(0)) {
@@ -58,7 +58,7 @@
 }
 
 bool
-target_evidence::Avoid(record& aRecord, duration aShortest, steady_time aNow)
+target_records::Avoid(record& aRecord, duration aShortest, steady_time aNow)
 {
   // Several requests were on their way when the first one failed: they are one
   // piece of evidence.
@@ -81,7 +81,7 @@
 }
 
 bool
-target_evidence::Observe(std::string_view aTarget,
+target_records::Observe(std::string_view aTarget,
                          exchange_outcome aOutcome,
                          steady_time aNow)
 {
@@ -136,7 +136,7 @@
 }
 
 target_use
-target_evidence::UseOf(std::string_view aTarget, steady_time aNow) const
+target_records::UseOf(std::string_view aTarget, steady_time aNow) const
 {
   const auto found = mRecords.find(std::string(aTarget));
   if (found == mRecords.end()) {
@@ -154,7 +154,7 @@
 }
 
 bool
-target_evidence::IsConfirmed(std::string_view aTarget) const
+target_records::IsConfirmed(std::string_view aTarget) const
 {
   const auto found = mRecords.find(std::string(aTarget));
   return found != mRecords.end() && found->second.mIsOnTrial &&
@@ -162,14 +162,14 @@
 }
 
 bool
-target_evidence::IsFull(std::string_view aTarget, steady_time aNow) const
+target_records::IsFull(std::string_view aTarget, steady_time aNow) const
 {
   const auto found = mRecords.find(std::string(aTarget));
   return found != mRecords.end() && aNow < found->second.mFullUntil;
 }
 
 double
-target_evidence::Suspicion(std::string_view aTarget, steady_time aNow) const
+target_records::Suspicion(std::string_view aTarget, steady_time aNow) const
 {
   const auto found = mRecords.find(std::string(aTarget));
   if (found == mRecords.end()) {
@@ -181,7 +181,7 @@
 }
 
 void
-target_evidence::Prune(steady_time aNow)
+target_records::Prune(steady_time aNow)
 {
   for (auto record = mRecords.begin(); record != mRecords.end();) {
     const bool isOld = aNow - record->second.mUpdated > kForgetAfter;
--- a/modules/placement/target_evidence.h
+++ b/modules/placement/target_records.h
@@ -34,7 +34,7 @@
 /// What the fleet has seen of each target lately. One instance sends a target
 /// a request every few seconds, too few to notice a fault by itself, so the
 /// failures of other instances count as well.
-class target_evidence
+class target_records
 {
 public:
   /// An outcome of this instance, or one that another instance reports.
--- a/modules/proxy/caller_session.cpp
+++ b/modules/proxy/caller_session.cpp
@@ -23,10 +23,10 @@
 // A caller that has just opened a connection sends its request at once.
 constexpr duration kFirstRequestTimeout = 10s;
 
-std::optional<caller_answer>
+std::optional<proxy_answer>
 OwnAnswer(int aStatus, refusal_cause aCause)
 {
-  caller_answer answer;
+  proxy_answer answer;
   answer.mStatus = aStatus;
   answer.mCause = aCause;
   answer.mHeaders.Add("Content-Type", "text/plain");
@@ -90,7 +90,7 @@
   return true;
 }
 
-std::optional<caller_answer>
+std::optional<proxy_answer>
 caller_session::ReadRequest(http_request& aRequest,
                             steady_time aReceivedAt,
                             yield_context aYield)
@@ -206,7 +206,7 @@
 }
 
 bool
-caller_session::Respond(caller_answer& aAnswer,
+caller_session::Respond(proxy_answer& aAnswer,
                         bool aIsHeadRequest,
                         bool aClose,
                         yield_context aYield)
--- a/modules/proxy/caller_session.h
+++ b/modules/proxy/caller_session.h
@@ -27,11 +27,11 @@
   bool WaitForRequest(yield_context aYield);
   /// False when the connection is to be closed.
   bool ServeOne(yield_context aYield);
-  std::optional<caller_answer> ReadRequest(http_request& aRequest,
+  std::optional<proxy_answer> ReadRequest(http_request& aRequest,
                                            steady_time aReceivedAt,
                                            yield_context aYield);
   void WatchForEnd(request_handler& aHandler);
-  bool Respond(caller_answer& aAnswer,
+  bool Respond(proxy_answer& aAnswer,
                bool aIsHeadRequest,
                bool aClose,
                yield_context aYield);
--- a/modules/proxy/fleet_evidence.cpp
+++ b/modules/proxy/fleet_evidence.cpp
@@ -20,7 +20,7 @@
 {
   bool mIsToRelay;
 
-  void operator()(outcome_report& aReport) const
+  void operator()(target_report& aReport) const
   {
     aReport.mIsToRelay = mIsToRelay;
   }
@@ -39,7 +39,7 @@
 fleet_evidence::fleet_evidence(scheduler& aScheduler,
                                member_table& aMembers,
                                peer_link& aLink,
-                               target_evidence& aEvidence,
+                               target_records& aEvidence,
                                target_chooser& aChooser,
                                crash_guard& aCrashes)
   : mScheduler(aScheduler)
@@ -74,7 +74,7 @@
   if (mEvidence.Observe(aTarget, aOutcome, mScheduler.Now())) {
     // Load matters to the zone whose requests made it.
     const bool isToRelay = aOutcome != exchange_outcome::Shed;
-    Spread(outcome_report{ aTarget, static_cast<std::uint8_t>(aOutcome), false },
+    Spread(target_report{ aTarget, static_cast<std::uint8_t>(aOutcome), false },
            isToRelay);
   }
 }
@@ -88,7 +88,7 @@
 }
 
 void
-fleet_evidence::OnReport(const outcome_report& aReport)
+fleet_evidence::OnReport(const target_report& aReport)
 {
   if (aReport.mOutcome > static_cast<std::uint8_t>(exchange_outcome::Abandoned)) {
     return;
--- a/modules/proxy/fleet_evidence.h
+++ b/modules/proxy/fleet_evidence.h
@@ -15,7 +15,7 @@
   fleet_evidence(scheduler& aScheduler,
                  member_table& aMembers,
                  peer_link& aLink,
-                 target_evidence& aEvidence,
+                 target_records& aEvidence,
                  target_chooser& aChooser,
                  crash_guard& aCrashes);
 
@@ -24,7 +24,7 @@
   void OnCrash(request_fingerprint aRequest, const std::string& aTarget);
 
   /// A message of another instance.
-  void OnReport(const outcome_report& aReport);
+  void OnReport(const target_report& aReport);
   void OnReport(const crash_report& aReport);
   void OnReport(const std::string& aSender, const load_report& aReport);
 
@@ -42,7 +42,7 @@
   scheduler& mScheduler;
   member_table& mMembers;
   peer_link& mLink;
-  target_evidence& mEvidence;
+  target_records& mEvidence;
   target_chooser& mChooser;
   crash_guard& mCrashes;
   std::uint64_t mTurn = 0;
--- a/modules/proxy/proxy_instance.cpp
+++ b/modules/proxy/proxy_instance.cpp
@@ -137,7 +137,7 @@
     const peer_message& mMessage;
     const udp_endpoint& mFrom;
 
-    void operator()(const outcome_report& aReport) const
+    void operator()(const target_report& aReport) const
     {
       mInstance.mReports.OnReport(aReport);
     }
--- a/modules/proxy/proxy_instance.h
+++ b/modules/proxy/proxy_instance.h
@@ -53,7 +53,7 @@
   metrics mMetrics;
   std::unique_ptr<peer_link> mLink;
   platform_view mView;
-  target_evidence mEvidence;
+  target_records mEvidence;
   target_chooser mChooser;
   crash_guard mCrashes;
   owner_client mOwners;
--- a/modules/proxy/proxy_services.h
+++ b/modules/proxy/proxy_services.h
@@ -26,7 +26,7 @@
   const proxy_settings& mSettings;
   header_dialect mNames;
   platform_view& mView;
-  target_evidence& mEvidence;
+  target_records& mEvidence;
   target_chooser& mChooser;
   crash_guard& mCrashes;
   owner_client& mOwners;
--- a/modules/proxy/request_handler.cpp
+++ b/modules/proxy/request_handler.cpp
@@ -162,7 +162,7 @@
   --mServices.mRequestsInFlight;
 }
 
-std::optional<caller_answer>
+std::optional<proxy_answer>
 request_handler::Handle(yield_context aYield)
 {
   auto answer = Authorise(aYield);
@@ -189,12 +189,12 @@
   mProgress->mChanged.Set();
 }
 
-caller_answer
+proxy_answer
 request_handler::Refuse(int aStatus,
                         refusal_cause aCause,
                         duration aRetryAfter) const
 {
-  caller_answer answer;
+  proxy_answer answer;
   answer.mStatus = aStatus;
   answer.mCause = aCause;
   if (!mRequestId.empty()) {
@@ -213,7 +213,7 @@
   return answer;
 }
 
-std::optional<caller_answer>
+std::optional<proxy_answer>
 request_handler::Authorise(yield_context aYield)
 {
   const auto now = mServices.mScheduler.Now();
@@ -261,7 +261,7 @@
   return CheckQuota(aYield);
 }
 
-std::optional<caller_answer>
+std::optional<proxy_answer>
 request_handler::CheckQuota(yield_context aYield)
 {
   const auto admission = mServices.mOwners.Admit(
@@ -278,7 +278,7 @@
   return std::nullopt;
 }
 
-std::optional<caller_answer>
+std::optional<proxy_answer>
 request_handler::Exchange(yield_context aYield)
 {
   if (mRoute->mShares.size() == 1) {
@@ -298,7 +298,7 @@
     return Refuse(502, refusal_cause::CrashesTargets);
   }
   const auto& head = mRequest.mHead;
-  mTargetRequest = std::make_shared<target_request>();
+  mTargetRequest = std::make_shared<outgoing_request>();
   mTargetRequest->mMethod = head.mMethod;
   mTargetRequest->mTarget = head.mTarget;
   mTargetRequest->mHeaders = HeadersForTarget(head.mHeaders, mServices.mNames);
@@ -506,7 +506,7 @@
   return refusal_cause::None;
 }
 
-std::optional<caller_answer>
+std::optional<proxy_answer>
 request_handler::Judge(attempt& aAttempt)
 {
   auto& finished = *aAttempt.mResult;
@@ -529,7 +529,7 @@
   }
 }
 
-caller_answer
+proxy_answer
 request_handler::GiveUp(refusal_cause aCause)
 {
   if (mTargetFailure) {
@@ -566,10 +566,10 @@
   return Refuse(503, aCause, spread);
 }
 
-caller_answer
+proxy_answer
 request_handler::FromTarget(http_response aResponse) const
 {
-  caller_answer answer;
+  proxy_answer answer;
   answer.mStatus = aResponse.mHead.mStatus;
   answer.mHeaders = EndToEndHeaders(aResponse.mHead.mHeaders);
   answer.mBody = std::move(aResponse.mBody);
@@ -577,7 +577,7 @@
 }
 
 void
-request_handler::LogRequest(const std::optional<caller_answer>& aAnswer) const
+request_handler::LogRequest(const std::optional<proxy_answer>& aAnswer) const
 {
   const auto now = mServices.mScheduler.Now();
   const auto cause = aAnswer ? aAnswer->mCause : refusal_cause::None;
--- a/modules/proxy/request_handler.h
+++ b/modules/proxy/request_handler.h
@@ -35,7 +35,7 @@
 const char*
 CauseName(refusal_cause aCause);
 
-struct caller_answer
+struct proxy_answer
 {
   int mStatus = 0;
   header_list mHeaders; ///< Without framing and connection headers.
@@ -54,7 +54,7 @@
   ~request_handler();
 
   /// The final answer; nothing when the caller has left.
-  std::optional<caller_answer> Handle(yield_context aYield);
+  std::optional<proxy_answer> Handle(yield_context aYield);
 
   /// The caller has closed its connection: a request that may be repeated is
   /// broken off.
@@ -78,10 +78,10 @@
     event mChanged;
   };
 
-  std::optional<caller_answer> Authorise(yield_context aYield);
-  std::optional<caller_answer> CheckQuota(yield_context aYield);
-  std::optional<caller_answer> Exchange(yield_context aYield);
-  std::optional<caller_answer> Judge(attempt& aAttempt);
+  std::optional<proxy_answer> Authorise(yield_context aYield);
+  std::optional<proxy_answer> CheckQuota(yield_context aYield);
+  std::optional<proxy_answer> Exchange(yield_context aYield);
+  std::optional<proxy_answer> Judge(attempt& aAttempt);
 
   /// Sends the request to one more target. The cause when it cannot.
   refusal_cause StartAttempt(yield_context aYield);
@@ -91,13 +91,13 @@
   void MarkOverdue();
   steady_time NextWake(bool aIsHedgePossible) const;
 
-  caller_answer Refuse(int aStatus,
+  proxy_answer Refuse(int aStatus,
                        refusal_cause aCause,
                        duration aRetryAfter = duration(0)) const;
   /// The answer when no further target can be tried.
-  caller_answer GiveUp(refusal_cause aCause);
-  caller_answer FromTarget(http_response aResponse) const;
-  void LogRequest(const std::optional<caller_answer>& aAnswer) const;
+  proxy_answer GiveUp(refusal_cause aCause);
+  proxy_answer FromTarget(http_response aResponse) const;
+  void LogRequest(const std::optional<proxy_answer>& aAnswer) const;
 
   proxy_services& mServices;
   http_request mRequest;
@@ -108,7 +108,7 @@
   const organisation_spec* mOrganisation = nullptr;
   std::string mRequestId;
   std::string mService;
-  std::shared_ptr<target_request> mTargetRequest;
+  std::shared_ptr<outgoing_request> mTargetRequest;
   std::shared_ptr<progress> mProgress = std::make_shared<progress>();
   request_fingerprint mFingerprint = 0;
   std::vector<std::string> mTried;
--- a/modules/proxy/target_exchange.h
+++ b/modules/proxy/target_exchange.h
@@ -8,7 +8,7 @@
 namespace cowslipline {
 
 /// What a target is sent.
-struct target_request
+struct outgoing_request
 {
   std::string mMethod;
   std::string mTarget; ///< Path and query.
@@ -40,7 +40,7 @@
   target_exchange(asio::io_context& aContext,
                   upstream_pool& aPool,
                   const header_dialect& aNames,
-                  std::shared_ptr<const target_request> aRequest,
+                  std::shared_ptr<const outgoing_request> aRequest,
                   const target_entry& aTarget);
 
   /// Sends the request and reads the answer, at most until the deadline.
@@ -68,7 +68,7 @@
   asio::io_context& mContext;
   upstream_pool& mPool;
   const header_dialect& mNames;
-  std::shared_ptr<const target_request> mRequest;
+  std::shared_ptr<const outgoing_request> mRequest;
   std::string mTargetId;
   tcp_endpoint mAddress;
   std::unique_ptr<tcp_stream> mStream;
--- a/modules/sharing/owner_client.cpp
+++ b/modules/sharing/owner_client.cpp
@@ -1,5 +1,7 @@
 #include "modules/sharing/owner_client.h"
 
+#include <algorithm>
+
 namespace cowslipline {
 
 namespace {
@@ -30,6 +32,7 @@
   , mQuotas(aLimits.mQuotaWindow, aScheduler.Now())
   , mLocalShares(aLimits.mQuotaWindow, aScheduler.Now())
   , mRetries(aLimits.mRetries, aScheduler.Now())
+  , mQuotaWindow(aLimits.mQuotaWindow)
   , mNextId(aSeed)
 {
 }
@@ -62,6 +65,35 @@
   return question->mDecision;
 }
 
+admitted_history
+owner_client::TakeAdmittedByOthers(const std::string& aOrganisation,
+                                   const std::string& aOwner)
+{
+  auto& admitted = mAdmitted[aOrganisation];
+  while (!admitted.empty() &&
+         mScheduler.Now() - admitted.front().mAt >= mQuotaWindow) {
+    admitted.pop_front();
+  }
+  admitted_history history{};
+  for (auto& request : admitted) {
+    if (request.mOwner != aOwner && request.mToldTo != aOwner) {
+      request.mToldTo = aOwner;
+      const auto part = (mScheduler.Now() - request.mAt) *
+                        static_cast<int>(kHistoryParts) / mQuotaWindow;
+      ++history[std::min<std::size_t>(static_cast<std::size_t>(part),
+                                      kHistoryParts - 1)];
+    }
+  }
+  return history;
+}
+
+void
+owner_client::OnAdmitted(const std::string& aOrganisation,
+                         const std::string& aOwner)
+{
+  mAdmitted[aOrganisation].push_back({ mScheduler.Now(), aOwner, {} });
+}
+
 quota_admission
 owner_client::Admit(const std::string& aOrganisation,
                     const quota_limit& aLimit,
@@ -70,42 +102,47 @@
   if (aLimit.mRate <= 0) {
     return { { true, duration(0) }, quota_source::Unlimited };
   }
-  const auto admitHere = [&] {
-    return quota_admission{
-      mQuotas.Admit(
-        aOrganisation, aLimit, mMembers.Epoch(), mScheduler.Now()),
-      quota_source::Owner
-    };
-  };
   const auto owners = OwnersOf(aOrganisation);
   const auto& self = mMembers.Self().mName;
-  if (owners[0].mName == self) {
-    return admitHere();
-  }
-  const quota_question question{ 0, aOrganisation };
-  // Asked twice: a datagram is lost now and then.
-  for (const auto wait : { kFirstWait, kSecondWait }) {
-    if (const auto decision = Ask(question, owners[0], wait, aYield)) {
-      return { *decision, quota_source::Peer };
+  for (std::size_t i = 0; i < owners.size(); ++i) {
+    const auto& owner = owners[i];
+    const auto past = TakeAdmittedByOthers(aOrganisation, owner.mName);
+    std::optional<quota_decision> decision;
+    auto source = i == 0 ? quota_source::Peer : quota_source::SecondOwner;
+    if (owner.mName == self) {
+      mQuotas.AddPast(aOrganisation, past, mScheduler.Now());
+      decision = mQuotas.Admit(
+        aOrganisation, aLimit, mMembers.Epoch(), mScheduler.Now());
+      source = quota_source::Owner;
+    } else {
+      decision = Ask(quota_question{ 0, aOrganisation, past },
+                     owner,
+                     kFirstWait,
+                     aYield);
+      // Asked twice: a datagram is lost now and then.
+      if (!decision) {
+        decision = Ask(quota_question{ 0, aOrganisation, {} },
+                       owner,
+                       kSecondWait,
+                       aYield);
+      }
     }
-  }
-  mMembers.OnNoReply(owners[0].mName, mScheduler.Now());
-  if (owners.size() > 1 && owners[1].mName == self) {
-    return admitHere();
-  }
-  if (owners.size() > 1) {
-    if (const auto decision = Ask(question, owners[1], kSecondWait, aYield)) {
-      return { *decision, quota_source::SecondOwner };
+    if (decision) {
+      if (decision->mIsAdmitted) {
+        OnAdmitted(aOrganisation, owner.mName);
+      }
+      return { *decision, source };
     }
-    mMembers.OnNoReply(owners[1].mName, mScheduler.Now());
+    mMembers.OnNoReply(owner.mName, mScheduler.Now());
   }
   const double part =
     kLocalPart / static_cast<double>(mMembers.Count(mScheduler.Now()));
-  return { mLocalShares.Admit(aOrganisation,
-                              { aLimit.mRate * part, 0 },
-                              0,
-                              mScheduler.Now()),
-           quota_source::LocalShare };
+  const auto decision = mLocalShares.Admit(
+    aOrganisation, { aLimit.mRate * part, 0 }, 0, mScheduler.Now());
+  if (decision.mIsAdmitted) {
+    OnAdmitted(aOrganisation, self);
+  }
+  return { decision, quota_source::LocalShare };
 }
 
 bool
@@ -131,6 +168,9 @@
                          const quota_limit& aLimit,
                          const udp_endpoint& aFrom)
 {
+  mQuotas.AddPast(aQuestion.mOrganisation,
+                  aQuestion.mAdmittedByOthers,
+                  mScheduler.Now());
   const auto decision = mQuotas.Admit(
     aQuestion.mOrganisation, aLimit, mMembers.Epoch(), mScheduler.Now());
   const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/modules/sharing/owner_client.h
+++ b/modules/sharing/owner_client.h
@@ -1,11 +1,12 @@
 #pragma once
 
 #include "core/scheduler.h"
-#include "modules/placement/retry_budget.h"
+#include "modules/placement/retry_accounts.h"
 #include "modules/sharing/member_table.h"
 #include "modules/sharing/peer_link.h"
 #include "modules/sharing/quota_window.h"
 
+#include <deque>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -69,6 +70,15 @@
   void Prune();
 
 private:
+  /// Requests that were admitted for this instance.
+  struct admitted_request
+  {
+    steady_time mAt;
+    std::string mOwner;
+    /// Owners other than mOwner that were told.
+    std::string mToldTo;
+  };
+
   struct pending_question
   {
     std::optional<quota_decision> mDecision;
@@ -79,6 +89,11 @@
   /// while a reply is awaited.
   std::vector<fleet_member> OwnersOf(const std::string& aItem) const;
 
+  /// Admitted by others within the window and not told to this owner yet.
+  admitted_history TakeAdmittedByOthers(const std::string& aOrganisation,
+                                        const std::string& aOwner);
+  void OnAdmitted(const std::string& aOrganisation, const std::string& aOwner);
+
   template<typename Question>
   std::optional<quota_decision> Ask(Question aQuestion,
                                     const fleet_member& aOwner,
@@ -91,8 +106,10 @@
   quota_windows mQuotas;
   /// Used while no owner replies: an equal part of each rate.
   quota_windows mLocalShares;
-  retry_budget mRetries;
+  retry_accounts mRetries;
   std::unordered_map<std::string, std::uint32_t> mRequests;
+  std::unordered_map<std::string, std::deque<admitted_request>> mAdmitted;
+  duration mQuotaWindow;
   std::uint64_t mNextId;
   std::unordered_map<std::uint64_t, std::shared_ptr<pending_question>> mPending;
 };
--- a/modules/sharing/peer_message.cpp
+++ b/modules/sharing/peer_message.cpp
@@ -21,7 +21,7 @@
 };
 
 json
-Encode(const std::string& aSender, const outcome_report& aReport)
+Encode(const std::string& aSender, const target_report& aReport)
 {
   return { kProtocolVersion,  static_cast<int>(message_kind::Outcome),
            aSender,           aReport.mTarget,
@@ -53,11 +53,14 @@
 json
 Encode(const std::string& aSender, const quota_question& aQuestion)
 {
+  // Most questions have no history to tell.
+  const bool hasHistory = aQuestion.mAdmittedByOthers != admitted_history();
   return { kProtocolVersion,
            static_cast<int>(message_kind::QuotaQuestion),
            aSender,
            aQuestion.mId,
-           aQuestion.mOrganisation };
+           aQuestion.mOrganisation,
+           hasHistory ? json(aQuestion.mAdmittedByOthers) : json::array() };
 }
 
 json
@@ -96,6 +99,24 @@
   return report;
 }
 
+result<peer_payload>
+DecodeQuotaQuestion(const json& aFields)
+{
+  quota_question question{ aFields[3], aFields[4], {} };
+  const auto& history = aFields[5];
+  if (!history.is_array() ||
+      (!history.empty() && history.size() != kHistoryParts)) {
+    return Fail(errc::MessageMalformed);
+  }
+  for (std::size_t i = 0; i < history.size(); ++i) {
+    if (!history[i].is_number_unsigned()) {
+      return Fail(errc::MessageMalformed);
+    }
+    question.mAdmittedByOthers[i] = history[i];
+  }
+  return question;
+}
+
 result<peer_payload>
 DecodePayload(message_kind aKind, const json& aFields)
 {
@@ -111,7 +132,7 @@
   switch (aKind) {
     case message_kind::Outcome:
       if (isText(3) && isCount(4) && isFlag(5)) {
-        return outcome_report{ aFields[3], aFields[4], aFields[5] };
+        return target_report{ aFields[3], aFields[4], aFields[5] };
       }
       break;
     case message_kind::Crash:
@@ -125,8 +146,8 @@
       }
       break;
     case message_kind::QuotaQuestion:
-      if (isCount(3) && isText(4)) {
-        return quota_question{ aFields[3], aFields[4] };
+      if (isCount(3) && isText(4) && aFields.size() > 5) {
+        return DecodeQuotaQuestion(aFields);
       }
       break;
     case message_kind::RetryQuestion:
--- a/modules/sharing/peer_message.h
+++ b/modules/sharing/peer_message.h
@@ -2,6 +2,7 @@
 
 #include "core/result.h"
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -12,7 +13,7 @@
 namespace cowslipline {
 
 /// The sender saw this outcome at a target.
-struct outcome_report
+struct target_report
 {
   std::string mTarget;
   std::uint8_t mOutcome = 0; ///< An exchange_outcome.
@@ -34,11 +35,19 @@
   std::vector<std::pair<std::string, std::uint32_t>> mRequests;
 };
 
+/// Admitted requests by age, in equal parts of the quota window, the latest
+/// first.
+constexpr std::size_t kHistoryParts = 5;
+using admitted_history = std::array<std::uint32_t, kHistoryParts>;
+
 /// Asks the owner of an organisation's quota to admit one request.
 struct quota_question
 {
   std::uint64_t mId = 0;
   std::string mOrganisation;
+  /// Requests that other owners admitted for the sender and that the receiver
+  /// was not told of: it may be a new owner.
+  admitted_history mAdmittedByOthers{};
 };
 
 /// Asks the owner of a service's retry budget for one repeated send.
@@ -59,7 +68,7 @@
   std::uint32_t mRetryAfterMs = 0;
 };
 
-using peer_payload = std::variant<outcome_report,
+using peer_payload = std::variant<target_report,
                                   crash_report,
                                   load_report,
                                   quota_question,
--- a/modules/sharing/quota_window.cpp
+++ b/modules/sharing/quota_window.cpp
@@ -10,8 +10,12 @@
 
 using namespace std::chrono_literals;
 
-// Part of the quota that an owner without knowledge of the past takes as used.
-constexpr double kAssumedPart = 0.85;
+// Part of the quota that an owner without knowledge of the past takes as used,
+// at first: an organisation uses about five eighths of it.
+constexpr double kAssumedPart = 0.6;
+
+// Within this time those who ask have told what they were admitted.
+constexpr duration kAssumedTime = 1s;
 
 // The demand beyond the quota is averaged over this time.
 constexpr duration kDemandTime = 1s;
@@ -43,15 +47,6 @@
   aWindow.mSlot = std::max(aWindow.mSlot, slot);
 }
 
-void
-quota_windows::AssumePast(window& aWindow, double aMost)
-{
-  const auto part = static_cast<float>(aMost * kAssumedPart / kSlots);
-  for (auto& admitted : aWindow.mAdmitted) {
-    admitted = std::max(admitted, part);
-  }
-}
-
 quota_decision
 quota_windows::Admit(std::string_view aOrganisation,
                      const quota_limit& aLimit,
@@ -71,17 +66,24 @@
   auto& window = placed.first->second;
   Advance(window, aNow);
   // Only an owner of a whole window knows that nothing was admitted.
-  const bool isPastKnown =
-    placed.second ? aNow - mEpochSince >= mWindow : window.mEpoch == aEpoch;
+  const bool isPastKnown = window.mEpoch == 0
+                             ? aNow - mEpochSince >= mWindow
+                             : window.mEpoch == aEpoch;
   if (!isPastKnown) {
-    AssumePast(window, most);
+    window.mAssumedUntil = aNow + kAssumedTime;
   }
   window.mEpoch = aEpoch;
   window.mRefused *=
     std::exp(-Seconds(aNow - window.mUpdatedAt) / Seconds(kDemandTime));
   window.mUpdatedAt = aNow;
-  const double used = std::accumulate(
-    window.mAdmitted.begin(), window.mAdmitted.end(), 0.0);
+  const double assumed = window.mAssumedUntil <= aNow
+                           ? 0
+                           : most * kAssumedPart *
+                               Seconds(window.mAssumedUntil - aNow) /
+                               Seconds(kAssumedTime);
+  const double used =
+    std::accumulate(
+      window.mAdmitted.begin(), window.mAdmitted.end(), assumed);
   if (used + 1 <= most) {
     const auto present = static_cast<std::size_t>(window.mSlot) %
                          window.mAdmitted.size();
@@ -105,6 +107,25 @@
   return { false, std::min<duration>(kLongestRetryAfter, room + turn) };
 }
 
+void
+quota_windows::AddPast(std::string_view aOrganisation,
+                       const admitted_history& aHistory,
+                       steady_time aNow)
+{
+  if (aHistory == admitted_history()) {
+    return;
+  }
+  auto& window = mWindows[std::string(aOrganisation)];
+  Advance(window, aNow);
+  window.mUpdatedAt = aNow;
+  const auto count = window.mAdmitted.size();
+  for (std::size_t part = 0; part < kHistoryParts; ++part) {
+    const auto age = part * kSlots / kHistoryParts;
+    const auto slot = static_cast<std::size_t>(window.mSlot) + count - age;
+    window.mAdmitted[slot % count] += static_cast<float>(aHistory[part]);
+  }
+}
+
 void
 quota_windows::Prune(steady_time aNow)
 {
--- a/modules/sharing/quota_window.h
+++ b/modules/sharing/quota_window.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "modules/sharing/peer_message.h"
 
 #include <array>
 #include <cstdint>
@@ -32,8 +33,8 @@
 /// the quota gives it in every window.
 ///
 /// Nothing is stored: an owner that took over from another does not know what
-/// was admitted before, and begins as if the organisation had used its quota
-/// evenly.
+/// was admitted before. It begins as if the organisation had used a part of its
+/// quota, and those who ask tell it what they were admitted.
 class quota_windows
 {
 public:
@@ -50,6 +51,11 @@
                        std::uint64_t aEpoch,
                        steady_time aNow);
 
+  /// Requests that another owner admitted within the last window.
+  void AddPast(std::string_view aOrganisation,
+               const admitted_history& aHistory,
+               steady_time aNow);
+
   void Prune(steady_time aNow);
 
 private:
@@ -61,14 +67,14 @@
     std::array<float, kSlots + 1> mAdmitted{};
     std::int64_t mSlot = 0;
     std::uint64_t mEpoch = 0;
+    /// Until then a part of the quota is taken as used.
+    steady_time mAssumedUntil;
     double mRefused = 0; ///< Decays: demand beyond the quota, requests/s.
     steady_time mUpdatedAt;
   };
 
   duration SlotLength() const { return mWindow / kSlots; }
   void Advance(window& aWindow, steady_time aNow) const;
-  /// Fills the past as if the quota had been used.
-  static void AssumePast(window& aWindow, double aMost);
 
   duration mWindow;
   steady_time mStart;
--- /dev/null
+++ b/tests/fakes/memory_platform_feed.cpp
@@ -0,0 +1,139 @@
+#include "tests/fakes/memory_platform_feed.h"
+
+namespace cowslipline::testing {
+
+void
+memory_platform_feed::Record(platform_event aEvent)
+{
+  mHistory.emplace_back(++mRevision, std::move(aEvent));
+  mChanged.Set();
+}
+
+void
+memory_platform_feed::Publish(fleet_configuration aConfiguration)
+{
+  mConfiguration =
+    configuration_changed{ route_index::Create(std::move(aConfiguration)) };
+  Record(*mConfiguration);
+}
+
+void
+memory_platform_feed::PutTarget(const target_entry& aTarget)
+{
+  mTargets[aTarget.mId] = aTarget;
+  Record(target_changed{ aTarget });
+}
+
+void
+memory_platform_feed::RemoveTarget(const std::string& aId)
+{
+  mTargets.erase(aId);
+  Record(target_removed{ aId });
+}
+
+void
+memory_platform_feed::EndLeases()
+{
+  mOldestLease = mNextLease;
+  mMembers.clear();
+}
+
+result<platform_changes>
+memory_platform_feed::ReadAll(yield_context)
+{
+  ++mCalls;
+  if (mIsDown) {
+    return Fail(errc::StoreUnavailable);
+  }
+  platform_changes changes;
+  changes.mRevision = mRevision;
+  if (mConfiguration) {
+    changes.mEvents.push_back(*mConfiguration);
+  }
+  for (const auto& [id, target] : mTargets) {
+    changes.mEvents.push_back(target_changed{ target });
+  }
+  for (const auto& [name, member] : mMembers) {
+    changes.mEvents.push_back(member_changed{ member.first });
+  }
+  return changes;
+}
+
+result<platform_changes>
+memory_platform_feed::Watch(std::uint64_t aAfter,
+                            duration aWait,
+                            yield_context aYield)
+{
+  ++mCalls;
+  if (mIsDown) {
+    return Fail(errc::StoreUnavailable);
+  }
+  if (aAfter < mOldest) {
+    mOldest = 0;
+    return Fail(errc::HistoryLost);
+  }
+  if (mRevision <= aAfter) {
+    mChanged.Wait(mScheduler, aWait, aYield);
+  }
+  if (mIsDown) {
+    return Fail(errc::StoreUnavailable);
+  }
+  platform_changes changes;
+  changes.mRevision = mRevision;
+  for (const auto& [revision, event] : mHistory) {
+    if (revision > aAfter) {
+      changes.mEvents.push_back(event);
+    }
+  }
+  return changes;
+}
+
+result<lease_id>
+memory_platform_feed::GrantLease(duration, yield_context)
+{
+  ++mCalls;
+  if (mIsDown) {
+    return Fail(errc::StoreUnavailable);
+  }
+  return mNextLease++;
+}
+
+result<void>
+memory_platform_feed::RenewLease(lease_id aLease, yield_context)
+{
+  ++mCalls;
+  if (mIsDown) {
+    return Fail(errc::StoreUnavailable);
+  }
+  if (aLease < mOldestLease) {
+    return Fail(errc::NotFound);
+  }
+  return {};
+}
+
+result<void>
+memory_platform_feed::EndLease(lease_id aLease, yield_context)
+{
+  ++mCalls;
+  for (auto member = mMembers.begin(); member != mMembers.end();) {
+    member = member->second.second == aLease ? mMembers.erase(member)
+                                             : std::next(member);
+  }
+  return {};
+}
+
+result<void>
+memory_platform_feed::Register(const fleet_member& aMember,
+                               lease_id aLease,
+                               yield_context)
+{
+  ++mCalls;
+  if (mIsDown) {
+    return Fail(errc::StoreUnavailable);
+  }
+  mMembers[aMember.mName] = { aMember, aLease };
+  Record(member_changed{ aMember });
+  return {};
+}
+
+} // namespace cowslipline::testing
--- /dev/null
+++ b/tests/platform/test_entry_codec.cpp
@@ -0,0 +1,110 @@
+#include "platform/entry_codec.h"
+#include "tests/story.h"
+
+using namespace cowslipline;
+using namespace std::chrono_literals;
+
+TEST_GROUP(entry_codec){};
+
+namespace {
+
+constexpr char kConfiguration[] = R"({
+  "version": 7,
+  "routes": [
+    { "name": "r1", "hostname": "shop.example", "path-prefix": "/a/",
+      "route-type": "idempotent", "timeout-s": 3, "slo-latency-s": 1.5,
+      "priority": 2, "attempts": 2, "public": true,
+      "traffic-split": [ { "service": "old", "weight": 90 },
+                         { "service": "new", "weight": 10 } ] },
+    { "name": "r2", "hostname": "shop.example", "path-prefix": "/b/",
+      "route-type": "something new", "service": "old" },
+    { "name": "r3", "path-prefix": 5 }
+  ],
+  "services": [ { "name": "old", "health-path": "/up", "max-conns": 360 } ],
+  "limits": { "max-header-bytes": 9000, "max-body-bytes": 100,
+              "header-timeout-s": 3, "idle-timeout-s": 15 },
+  "tenants": [ { "name": "lagos", "api-keys": [ "k1", "k2" ], "priority": 1,
+                 "rate-per-s": 31, "burst": 12.5 } ]
+})";
+
+} // namespace
+
+// Guards against a field that is read as another unit or default, and against
+// one unreadable route that keeps a whole configuration from being in force.
+TEST(entry_codec, ReadsAConfiguration)
+{
+  std::vector<std::string> skipped;
+  const auto read = DecodeConfiguration(kConfiguration, skipped);
+  CHECK(read.has_value());
+  LONGS_EQUAL(7, read->mVersion);
+  LONGS_EQUAL(2, read->mRoutes.size());
+  LONGS_EQUAL(1, skipped.size());
+  STRCMP_EQUAL("routes/2", skipped[0].c_str());
+
+  SECTION("times are seconds")
+  {
+    CHECK(read->mRoutes[0].mTimeout == 3s);
+    CHECK(read->mRoutes[0].mLatencyObjective == 1500ms);
+    CHECK(read->mLimits.mIdleTimeout == 15s);
+  }
+  SECTION("what is not known to be repeatable is not repeated")
+  {
+    CHECK(read->mRoutes[0].mRepeat == repeat_rule::Idempotent);
+    CHECK(read->mRoutes[1].mRepeat == repeat_rule::AtMostOnce);
+    CHECK_FALSE(read->mRoutes[1].mIsPublic);
+    LONGS_EQUAL(1, read->mRoutes[1].mAttempts);
+  }
+  SECTION("organisations hold their keys and limits")
+  {
+    const auto& organisation = read->mOrganisations.at(0);
+    LONGS_EQUAL(2, organisation.mKeys.size());
+    DOUBLES_EQUAL(12.5, organisation.mBurst, 1e-9);
+    LONGS_EQUAL(1, *organisation.mPriority);
+  }
+  SECTION("bytes that are no configuration are an error")
+  {
+    for (const auto* text : { "", "[]", "{", "{\"version\":-1,\"routes\":[]}",
+                              "{\"version\":1}" }) {
+      CHECK_FALSE(DecodeConfiguration(text, skipped).has_value());
+    }
+  }
+}
+
+// Guards against entries of another writer that name a target to use.
+TEST(entry_codec, RefusesTargetEntriesThatLackAField)
+{
+  const std::string whole =
+    R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":6,)"
+    R"("state":"ready","cold-remaining-s":1.5,"seq":4,"born":17})";
+  const auto target = DecodeTarget("i-1", whole);
+  CHECK(target.has_value());
+  CHECK(target->mColdRemaining == 1500ms);
+  LONGS_EQUAL(80, target->mAddress.port());
+
+  SECTION("wrong types, states and addresses name no target")
+  {
+    for (const auto& [from, to] :
+         std::vector<std::pair<std::string, std::string>>{
+           { "\"ready\"", "\"resting\"" },
+           { "\"ready\"", "1" },
+           { "10.0.0.9:80", "10.0.0.9" },
+           { "10.0.0.9:80", "name:80" },
+           { "\"slots\":6", "\"slots\":0" },
+           { "\"slots\":6", "\"slots\":\"6\"" },
+           { "\"service\"", "\"servic\"" },
+           { "\"zone\"", "\"zon\"" } }) {
+      auto text = whole;
+      text.replace(text.find(from), from.size(), to);
+      CHECK_FALSE(DecodeTarget("i-1", text).has_value());
+    }
+    CHECK_FALSE(DecodeTarget("i-1", "\xff\x00").has_value());
+  }
+}
+
+TEST(entry_codec, Base64RoundTrips)
+{
+  for (const std::string text : { "", "a", "ab", "abc", "\xff\x00z" }) {
+    CHECK_EQUAL(text, *DecodeBase64(EncodeBase64(text)));
+  }
+  CHECK_FALSE(DecodeBase64("a*b=").has_value());
+}
