--- /dev/null
+++ b/tests/proxy/edge_fixture.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "modules/proxy/proxy.h"
+#include "tests/fakes/memory_platform_feed.h"
+
+#include <functional>
+
+namespace cowslipline::testing {
+
+/// Header names of the tests, unlike those of any deployment.
+header_dialect
+TestHeaders();
+
+/// A target whose behaviour a test sets. Runs on the fixture's loop.
+class scripted_target
+{
+public:
+  /// Serves one request on the stream; false closes the connection.
+  using script =
+    std::function<bool(const http_request&, tcp_stream&, yield_context)>;
+
+  scripted_target(asio::io_context& aContext, std::string aId, script aScript);
+  ~scripted_target();
+
+  target_entry Entry(std::string aService, std::string aZone) const;
+  /// Requests as they came.
+  const std::vector<http_request>& Requests() const { return mRequests; }
+  std::size_t Connections() const { return mConnections; }
+  void StopAccepting();
+  script mScript;
+
+private:
+  void Accept();
+
+  asio::io_context& mContext;
+  std::string mId;
+  asio::ip::tcp::acceptor mAcceptor;
+  std::shared_ptr<bool> mIsAlive = std::make_shared<bool>(true);
+  std::vector<http_request> mRequests;
+  std::size_t mConnections = 0;
+};
+
+/// A whole signed answer to the request, with the body.
+std::string
+GoodAnswer(const http_request& aRequest, std::string_view aBody);
+
+bool
+SendText(tcp_stream& aStream, const std::string& aText, yield_context aYield);
+
+/// One instance with a store in memory, one availability zone and an
+/// organisation "lagos" with the key "key-1".
+class edge_fixture
+{
+public:
+  edge_fixture();
+  ~edge_fixture();
+
+  scripted_target& AddTarget(const std::string& aId,
+                             const std::string& aService,
+                             scripted_target::script aScript);
+
+  /// Runs the function as a task until it returns; fails the test after 20 s.
+  void Run(const std::function<void(yield_context)>& aTask);
+  void Sleep(duration aTime, yield_context aYield);
+
+  /// A request on a connection of its own.
+  result<http_response> Call(const std::string& aMethod,
+                             const std::string& aPath,
+                             yield_context aYield,
+                             const std::string& aHeaders = "Key: key-1\r\n",
+                             const std::string& aBody = {});
+
+  fleet_configuration Configuration(std::uint64_t aVersion) const;
+
+  asio::io_context mContext;
+  system_scheduler mScheduler{ mContext };
+  memory_platform_feed mFeed{ mScheduler };
+  proxy_settings mSettings;
+  std::vector<std::unique_ptr<scripted_target>> mTargets;
+  std::unique_ptr<proxy_instance> mInstance;
+  int mNextRequest = 1;
+};
+
+} // namespace cowslipline::testing
