--- a/modules/proxy/proxy_instance.cpp
+++ b/modules/proxy/proxy_instance.cpp
@@ -81,10 +81,12 @@
                mView,      mEvidence,            mChooser,  mCrashes,
                mOwners,    mReports,             mPool,     mMetrics,
                mRandom }
+  , mZone(aScheduler, mView.mMembers, *mLink, mRandom.Next() >> 1)
   , mSync(aScheduler,
           aFeed,
           mView,
           mMetrics,
+          mZone,
           aSettings.mBounds.mRevocation,
           mRandom.Next())
   , mRegistration(aScheduler, aFeed, mView.mMembers.Self())
@@ -161,6 +163,16 @@
     {
       mInstance.mOwners.OnQuestion(aQuestion, mFrom);
     }
+    void operator()(const changes_question& aQuestion) const
+    {
+      mInstance.mLink->Send(mInstance.mSync.Answer(aQuestion), mFrom);
+    }
+    void operator()(const changes_answer& aAnswer) const
+    {
+      if (!mInstance.mZone.OnAnswer(aAnswer) && aAnswer.mId == 0) {
+        mInstance.mSync.OnTold(aAnswer);
+      }
+    }
     void operator()(const owner_answer& aAnswer) const
     {
       mInstance.mOwners.OnAnswer(aAnswer);
--- a/modules/proxy/proxy_instance.h
+++ b/modules/proxy/proxy_instance.h
@@ -3,6 +3,7 @@
 #include "modules/proxy/caller_session.h"
 #include "modules/proxy/page_server.h"
 #include "modules/proxy/proxy_services.h"
+#include "modules/proxy/zone_sync_peers.h"
 
 namespace cowslipline {
 
@@ -60,6 +61,7 @@
   fleet_evidence mReports;
   upstream_pool mPool;
   proxy_services mServices;
+  zone_sync_peers mZone;
   platform_sync mSync;
   registration mRegistration;
   caller_listener mListener;
--- /dev/null
+++ b/modules/proxy/zone_sync_peers.cpp
@@ -0,0 +1,65 @@
+#include "modules/proxy/zone_sync_peers.h"
+
+namespace cowslipline {
+
+namespace {
+
+// A reply takes a fraction of a millisecond inside a zone; a process whose
+// processor share is used up stands still for a tenth of a second.
+constexpr duration kReplyWait = std::chrono::milliseconds(120);
+
+constexpr int kTries = 2;
+
+} // namespace
+
+const fleet_member&
+zone_sync_peers::Reader() const
+{
+  return mMembers.ZoneOwnerOf("reader of the store", mScheduler.Now());
+}
+
+bool
+zone_sync_peers::IsReader() const
+{
+  return Reader().mName == mMembers.Self().mName;
+}
+
+std::optional<changes_answer>
+zone_sync_peers::Ask(std::uint64_t aRevision, yield_context aYield)
+{
+  // A copy: the table may change while the reply is awaited.
+  const auto reader = Reader();
+  for (int i = 0; i < kTries; ++i) {
+    mAskedId = ++mNextId;
+    mAnswer.reset();
+    mLink.Send(changes_question{ mAskedId, aRevision }, reader.mAddress);
+    mAnswered.Wait(mScheduler, kReplyWait, aYield);
+    mAskedId = 0;
+    if (mAnswer) {
+      return mAnswer;
+    }
+  }
+  mMembers.OnNoReply(reader.mName, mScheduler.Now());
+  return std::nullopt;
+}
+
+void
+zone_sync_peers::Tell(const changes_answer& aChanges)
+{
+  for (const auto* peer : mMembers.ZonePeers(mScheduler.Now())) {
+    mLink.Send(aChanges, peer->mAddress);
+  }
+}
+
+bool
+zone_sync_peers::OnAnswer(const changes_answer& aAnswer)
+{
+  if (aAnswer.mId == 0 || aAnswer.mId != mAskedId) {
+    return false;
+  }
+  mAnswer = aAnswer;
+  mAnswered.Set();
+  return true;
+}
+
+} // namespace cowslipline
--- a/modules/sharing/member_table.cpp
+++ b/modules/sharing/member_table.cpp
@@ -128,6 +128,22 @@
   return owners;
 }
 
+const fleet_member&
+member_table::ZoneOwnerOf(std::string_view aItem, steady_time aNow) const
+{
+  const auto item = Hash64(aItem);
+  const auto* owner = &mSelf;
+  auto most = RendezvousWeight(mSelf.mName, item);
+  for (const auto* peer : ZonePeers(aNow)) {
+    const auto weight = RendezvousWeight(peer->mName, item);
+    if (weight > most) {
+      most = weight;
+      owner = peer;
+    }
+  }
+  return *owner;
+}
+
 std::vector<const fleet_member*>
 member_table::ZonePeers(steady_time aNow) const
 {
--- a/modules/sharing/member_table.h
+++ b/modules/sharing/member_table.h
@@ -49,6 +49,11 @@
                                             std::size_t aCount,
                                             steady_time aNow) const;
 
+  /// The member in use of this instance's availability zone that owns the
+  /// item; this instance itself among them.
+  const fleet_member& ZoneOwnerOf(std::string_view aItem,
+                                  steady_time aNow) const;
+
   /// The other members in use of this instance's availability zone.
   std::vector<const fleet_member*> ZonePeers(steady_time aNow) const;
 
--- a/modules/sharing/owner_client.cpp
+++ b/modules/sharing/owner_client.cpp
@@ -1,7 +1,5 @@
 #include "modules/sharing/owner_client.h"
 
-#include <algorithm>
-
 namespace cowslipline {
 
 namespace {
@@ -29,10 +27,9 @@
   : mScheduler(aScheduler)
   , mMembers(aMembers)
   , mLink(aLink)
-  , mQuotas(aLimits.mQuotaWindow, aScheduler.Now())
-  , mLocalShares(aLimits.mQuotaWindow, aScheduler.Now())
+  , mQuotas(aLimits.mQuotaWindow)
+  , mLocalShares(aLimits.mQuotaWindow)
   , mRetries(aLimits.mRetries, aScheduler.Now())
-  , mQuotaWindow(aLimits.mQuotaWindow)
   , mNextId(aSeed)
 {
 }
@@ -65,35 +62,6 @@
   return question->mDecision;
 }
 
-admitted_history
-owner_client::TakeAdmittedByOthers(const std::string& aOrganisation,
-                                   const std::string& aOwner)
-{
-  auto& admitted = mAdmitted[aOrganisation];
-  while (!admitted.empty() &&
-         mScheduler.Now() - admitted.front().mAt >= mQuotaWindow) {
-    admitted.pop_front();
-  }
-  admitted_history history{};
-  for (auto& request : admitted) {
-    if (request.mOwner != aOwner && request.mToldTo != aOwner) {
-      request.mToldTo = aOwner;
-      const auto part = (mScheduler.Now() - request.mAt) *
-                        static_cast<int>(kHistoryParts) / mQuotaWindow;
-      ++history[std::min<std::size_t>(static_cast<std::size_t>(part),
-                                      kHistoryParts - 1)];
-    }
-  }
-  return history;
-}
-
-void
-owner_client::OnAdmitted(const std::string& aOrganisation,
-                         const std::string& aOwner)
-{
-  mAdmitted[aOrganisation].push_back({ mScheduler.Now(), aOwner, {} });
-}
-
 quota_admission
 owner_client::Admit(const std::string& aOrganisation,
                     const quota_limit& aLimit,
@@ -106,43 +74,32 @@
   const auto& self = mMembers.Self().mName;
   for (std::size_t i = 0; i < owners.size(); ++i) {
     const auto& owner = owners[i];
-    const auto past = TakeAdmittedByOthers(aOrganisation, owner.mName);
     std::optional<quota_decision> decision;
     auto source = i == 0 ? quota_source::Peer : quota_source::SecondOwner;
     if (owner.mName == self) {
-      mQuotas.AddPast(aOrganisation, past, mScheduler.Now());
       decision = mQuotas.Admit(
         aOrganisation, aLimit, mMembers.Epoch(), mScheduler.Now());
       source = quota_source::Owner;
     } else {
-      decision = Ask(quota_question{ 0, aOrganisation, past },
-                     owner,
-                     kFirstWait,
-                     aYield);
+      const quota_question question{ 0, aOrganisation };
+      decision = Ask(question, owner, kFirstWait, aYield);
       // Asked twice: a datagram is lost now and then.
       if (!decision) {
-        decision = Ask(quota_question{ 0, aOrganisation, {} },
-                       owner,
-                       kSecondWait,
-                       aYield);
+        decision = Ask(question, owner, kSecondWait, aYield);
       }
     }
     if (decision) {
-      if (decision->mIsAdmitted) {
-        OnAdmitted(aOrganisation, owner.mName);
-      }
       return { *decision, source };
     }
     mMembers.OnNoReply(owner.mName, mScheduler.Now());
   }
   const double part =
     kLocalPart / static_cast<double>(mMembers.Count(mScheduler.Now()));
-  const auto decision = mLocalShares.Admit(
-    aOrganisation, { aLimit.mRate * part, 0 }, 0, mScheduler.Now());
-  if (decision.mIsAdmitted) {
-    OnAdmitted(aOrganisation, self);
-  }
-  return { decision, quota_source::LocalShare };
+  return { mLocalShares.Admit(aOrganisation,
+                              { aLimit.mRate * part, 0 },
+                              0,
+                              mScheduler.Now()),
+           quota_source::LocalShare };
 }
 
 bool
@@ -168,9 +125,6 @@
                          const quota_limit& aLimit,
                          const udp_endpoint& aFrom)
 {
-  mQuotas.AddPast(aQuestion.mOrganisation,
-                  aQuestion.mAdmittedByOthers,
-                  mScheduler.Now());
   const auto decision = mQuotas.Admit(
     aQuestion.mOrganisation, aLimit, mMembers.Epoch(), mScheduler.Now());
   const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/modules/sharing/owner_client.h
+++ b/modules/sharing/owner_client.h
@@ -4,9 +4,8 @@
 #include "modules/placement/retry_accounts.h"
 #include "modules/sharing/member_table.h"
 #include "modules/sharing/peer_link.h"
-#include "modules/sharing/quota_window.h"
+#include "modules/sharing/quota_bucket.h"
 
-#include <deque>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -70,15 +69,6 @@
   void Prune();
 
 private:
-  /// Requests that were admitted for this instance.
-  struct admitted_request
-  {
-    steady_time mAt;
-    std::string mOwner;
-    /// Owners other than mOwner that were told.
-    std::string mToldTo;
-  };
-
   struct pending_question
   {
     std::optional<quota_decision> mDecision;
@@ -89,11 +79,6 @@
   /// while a reply is awaited.
   std::vector<fleet_member> OwnersOf(const std::string& aItem) const;
 
-  /// Admitted by others within the window and not told to this owner yet.
-  admitted_history TakeAdmittedByOthers(const std::string& aOrganisation,
-                                        const std::string& aOwner);
-  void OnAdmitted(const std::string& aOrganisation, const std::string& aOwner);
-
   template<typename Question>
   std::optional<quota_decision> Ask(Question aQuestion,
                                     const fleet_member& aOwner,
@@ -103,13 +88,11 @@
   scheduler& mScheduler;
   member_table& mMembers;
   peer_link& mLink;
-  quota_windows mQuotas;
+  quota_buckets mQuotas;
   /// Used while no owner replies: an equal part of each rate.
-  quota_windows mLocalShares;
+  quota_buckets mLocalShares;
   retry_accounts mRetries;
   std::unordered_map<std::string, std::uint32_t> mRequests;
-  std::unordered_map<std::string, std::deque<admitted_request>> mAdmitted;
-  duration mQuotaWindow;
   std::uint64_t mNextId;
   std::unordered_map<std::uint64_t, std::shared_ptr<pending_question>> mPending;
 };
--- a/modules/sharing/peer_message.cpp
+++ b/modules/sharing/peer_message.cpp
@@ -18,6 +18,8 @@
   QuotaQuestion,
   RetryQuestion,
   OwnerAnswer,
+  ChangesQuestion,
+  ChangesAnswer,
 };
 
 json
@@ -53,14 +55,11 @@
 json
 Encode(const std::string& aSender, const quota_question& aQuestion)
 {
-  // Most questions have no history to tell.
-  const bool hasHistory = aQuestion.mAdmittedByOthers != admitted_history();
   return { kProtocolVersion,
            static_cast<int>(message_kind::QuotaQuestion),
            aSender,
            aQuestion.mId,
-           aQuestion.mOrganisation,
-           hasHistory ? json(aQuestion.mAdmittedByOthers) : json::array() };
+           aQuestion.mOrganisation };
 }
 
 json
@@ -82,6 +81,30 @@
            aAnswer.mIsAdmitted, aAnswer.mRetryAfterMs };
 }
 
+json
+Encode(const std::string& aSender, const changes_question& aQuestion)
+{
+  return { kProtocolVersion,
+           static_cast<int>(message_kind::ChangesQuestion),
+           aSender,
+           aQuestion.mId,
+           aQuestion.mRevision };
+}
+
+json
+Encode(const std::string& aSender, const changes_answer& aAnswer)
+{
+  return { kProtocolVersion,
+           static_cast<int>(message_kind::ChangesAnswer),
+           aSender,
+           aAnswer.mId,
+           aAnswer.mFrom,
+           aAnswer.mTo,
+           aAnswer.mAgeMs,
+           aAnswer.mIsPartial,
+           aAnswer.mText };
+}
+
 result<peer_payload>
 DecodeLoad(const json& aRequests)
 {
@@ -99,24 +122,6 @@
   return report;
 }
 
-result<peer_payload>
-DecodeQuotaQuestion(const json& aFields)
-{
-  quota_question question{ aFields[3], aFields[4], {} };
-  const auto& history = aFields[5];
-  if (!history.is_array() ||
-      (!history.empty() && history.size() != kHistoryParts)) {
-    return Fail(errc::MessageMalformed);
-  }
-  for (std::size_t i = 0; i < history.size(); ++i) {
-    if (!history[i].is_number_unsigned()) {
-      return Fail(errc::MessageMalformed);
-    }
-    question.mAdmittedByOthers[i] = history[i];
-  }
-  return question;
-}
-
 result<peer_payload>
 DecodePayload(message_kind aKind, const json& aFields)
 {
@@ -146,8 +151,8 @@
       }
       break;
     case message_kind::QuotaQuestion:
-      if (isCount(3) && isText(4) && aFields.size() > 5) {
-        return DecodeQuotaQuestion(aFields);
+      if (isCount(3) && isText(4)) {
+        return quota_question{ aFields[3], aFields[4] };
       }
       break;
     case message_kind::RetryQuestion:
@@ -160,6 +165,18 @@
         return owner_answer{ aFields[3], aFields[4], aFields[5] };
       }
       break;
+    case message_kind::ChangesQuestion:
+      if (isCount(3) && isCount(4)) {
+        return changes_question{ aFields[3], aFields[4] };
+      }
+      break;
+    case message_kind::ChangesAnswer:
+      if (isCount(3) && isCount(4) && isCount(5) && isCount(6) && isFlag(7) &&
+          isText(8)) {
+        return changes_answer{ aFields[3], aFields[4], aFields[5],
+                               aFields[6], aFields[7], aFields[8] };
+      }
+      break;
   }
   return Fail(errc::MessageMalformed);
 }
--- a/modules/sharing/peer_message.h
+++ b/modules/sharing/peer_message.h
@@ -2,7 +2,6 @@
 
 #include "core/result.h"
 
-#include <array>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -35,19 +34,11 @@
   std::vector<std::pair<std::string, std::uint32_t>> mRequests;
 };
 
-/// Admitted requests by age, in equal parts of the quota window, the latest
-/// first.
-constexpr std::size_t kHistoryParts = 5;
-using admitted_history = std::array<std::uint32_t, kHistoryParts>;
-
 /// Asks the owner of an organisation's quota to admit one request.
 struct quota_question
 {
   std::uint64_t mId = 0;
   std::string mOrganisation;
-  /// Requests that other owners admitted for the sender and that the receiver
-  /// was not told of: it may be a new owner.
-  admitted_history mAdmittedByOthers{};
 };
 
 /// Asks the owner of a service's retry budget for one repeated send.
@@ -68,12 +59,34 @@
   std::uint32_t mRetryAfterMs = 0;
 };
 
+/// Asks an instance of the zone what has changed in the platform's store.
+struct changes_question
+{
+  std::uint64_t mId = 0;
+  std::uint64_t mRevision = 0; ///< What the sender knows.
+};
+
+/// Answers a question, or tells of changes unasked (mId 0).
+struct changes_answer
+{
+  std::uint64_t mId = 0;
+  std::uint64_t mFrom = 0; ///< The changes follow this revision.
+  std::uint64_t mTo = 0;
+  /// Age of the sender's proof that mTo is the store's state.
+  std::uint32_t mAgeMs = 0;
+  /// The text leaves something out: the store has to be asked.
+  bool mIsPartial = false;
+  std::string mText;
+};
+
 using peer_payload = std::variant<target_report,
                                   crash_report,
                                   load_report,
                                   quota_question,
                                   retry_question,
-                                  owner_answer>;
+                                  owner_answer,
+                                  changes_question,
+                                  changes_answer>;
 
 struct peer_message
 {
--- a/modules/sharing/sharing.h
+++ b/modules/sharing/sharing.h
@@ -6,4 +6,4 @@
 #include "modules/sharing/owner_client.h"
 #include "modules/sharing/peer_link.h"
 #include "modules/sharing/peer_message.h"
-#include "modules/sharing/quota_window.h"
+#include "modules/sharing/quota_bucket.h"
--- a/modules/sync/platform_feed.h
+++ b/modules/sync/platform_feed.h
@@ -57,6 +57,10 @@
   std::vector<platform_event> mEvents;
   /// The store's revision from which the next watch goes on.
   std::uint64_t mRevision = 0;
+  /// The events in the store's own form, for passing on to other instances;
+  /// without the configuration, which is too large for a datagram.
+  std::string mText;
+  bool mHasConfiguration = false;
 };
 
 /// A lease of the store; its keys go when it ends.
@@ -79,6 +83,11 @@
                                          duration aWait,
                                          yield_context aYield) = 0;
 
+  /// Decodes changes that another instance has passed on.
+  /// Errors: errc::MessageMalformed.
+  virtual result<std::vector<platform_event>> Decode(
+    std::string_view aText) = 0;
+
   virtual result<lease_id> GrantLease(duration aTimeToLive,
                                       yield_context aYield) = 0;
   virtual result<void> RenewLease(lease_id aLease, yield_context aYield) = 0;
--- a/modules/sync/platform_sync.cpp
+++ b/modules/sync/platform_sync.cpp
@@ -10,9 +10,10 @@
 
 using namespace std::chrono_literals;
 
-// A watch waits this part of the revocation bound: an answer and the next one
-// together have to arrive within the bound.
-constexpr int kWatchPart = 3;
+// A watch waits this part of the revocation bound. An answer proves the state at
+// the time of its question, and holds until the next answer: at a reader the
+// proof is up to two waits old, at a follower one question's interval more.
+constexpr int kWatchPart = 6;
 
 // Between two watches after changes. Changes come in series, and each answer
 // is a call that is paid for.
@@ -28,6 +29,16 @@
 // An outage of this length may make entries lapse.
 constexpr duration kOutage = 2500ms;
 
+// Followers ask this often; half a second is left of the two seconds in which
+// a leaving target must be known.
+constexpr duration kFollowInterval = 1s;
+
+// Changes that a reader keeps for followers that missed a datagram.
+constexpr std::size_t kRecentChanges = 64;
+
+// Longer texts are not passed on: they would not arrive in one datagram.
+constexpr std::size_t kPassedOnBytes = 4096;
+
 std::string
 MillisecondsText(duration aDuration)
 {
@@ -41,12 +52,14 @@
                              platform_feed& aFeed,
                              platform_view& aView,
                              metrics& aMetrics,
+                             sync_peers& aPeers,
                              duration aRevocationBound,
                              std::uint64_t aSeed)
   : mScheduler(aScheduler)
   , mFeed(aFeed)
   , mView(aView)
   , mMetrics(aMetrics)
+  , mPeers(aPeers)
   , mRandom(aSeed)
   , mWatchWait(aRevocationBound / kWatchPart)
 {
@@ -56,7 +69,22 @@
 platform_sync::Run(yield_context aYield)
 {
   while (!mIsStopped) {
-    const bool isDone = mIsHistoryKnown ? Watch(aYield) : ReadAll(aYield);
+    bool isDone = false;
+    if (!mIsHistoryKnown) {
+      isDone = ReadAll(aYield);
+    } else if (mPeers.IsReader()) {
+      // After an outage the first watch asks for what has changed and returns
+      // at once: it proves that the configuration is current.
+      isDone = Watch(mIsInContact ? mWatchWait : duration(1ms), aYield);
+    } else if (Follow(aYield)) {
+      mWoken.Wait(mScheduler, kFollowInterval, aYield);
+      isDone = true;
+    } else {
+      isDone = Watch(1ms, aYield);
+      if (isDone) {
+        mWoken.Wait(mScheduler, kFollowInterval, aYield);
+      }
+    }
     DropLapsedTargets();
     if (!isDone && !mIsStopped) {
       const auto wait =
@@ -79,20 +107,20 @@
   }
   mIsHistoryKnown = true;
   OnAnswer(askedAt);
+  mIsToldPartially = false;
+  mRecent.clear();
   Apply(*changes, true);
   mView.mIsComplete = true;
   return true;
 }
 
 bool
-platform_sync::Watch(yield_context aYield)
+platform_sync::Watch(duration aWait, yield_context aYield)
 {
   const auto askedAt = mScheduler.Now();
-  // After an outage the first watch asks for what has changed and returns at
-  // once: it proves that the configuration is current.
-  const auto wait = mIsInContact ? mWatchWait : duration(1ms);
+  const auto from = mRevision;
   mMetrics.Counter("cowslipline_store_calls_total{call=\"watch\"}").Add();
-  const auto changes = mFeed.Watch(mRevision, wait, aYield);
+  const auto changes = mFeed.Watch(mRevision, aWait, aYield);
   if (!changes && changes.error() == errc::HistoryLost) {
     Log(log_level::Info,
         "store_history_lost",
@@ -105,26 +133,160 @@
     return false;
   }
   OnAnswer(askedAt);
+  mIsToldPartially = false;
   Apply(*changes, false);
+  Remember(from, *changes);
   if (!changes->mEvents.empty()) {
     mScheduler.SleepFor(kAfterChanges, aYield);
   }
   return true;
 }
 
+void
+platform_sync::Remember(std::uint64_t aFrom, const platform_changes& aChanges)
+{
+  if (aChanges.mEvents.empty()) {
+    return;
+  }
+  changes_answer told;
+  told.mFrom = aFrom;
+  told.mTo = aChanges.mRevision;
+  told.mIsPartial =
+    aChanges.mHasConfiguration || aChanges.mText.size() > kPassedOnBytes;
+  if (!told.mIsPartial) {
+    told.mText = aChanges.mText;
+  }
+  if (mPeers.IsReader()) {
+    mPeers.Tell(told);
+  }
+  mRecent.push_back(std::move(told));
+  if (mRecent.size() > kRecentChanges) {
+    mRecent.pop_front();
+  }
+}
+
+changes_answer
+platform_sync::Answer(const changes_question& aQuestion) const
+{
+  changes_answer answer;
+  answer.mId = aQuestion.mId;
+  answer.mFrom = aQuestion.mRevision;
+  answer.mTo = aQuestion.mRevision;
+  const auto age = std::min<duration>(
+    mView.mFreshness.Age(mScheduler.Now()), std::chrono::hours(1));
+  answer.mAgeMs = static_cast<std::uint32_t>(age / 1ms) + 1;
+  if (mRevision == aQuestion.mRevision) {
+    return answer;
+  }
+  // One step at a time: the next question gets the next one.
+  const auto next = std::find_if(
+    mRecent.begin(), mRecent.end(), [&](const changes_answer& aChanges) {
+      return aChanges.mFrom == aQuestion.mRevision;
+    });
+  if (next != mRecent.end()) {
+    answer.mTo = next->mTo;
+    answer.mIsPartial = next->mIsPartial;
+    answer.mText = next->mText;
+  } else {
+    answer.mIsPartial = true;
+  }
+  return answer;
+}
+
+bool
+platform_sync::Follow(yield_context aYield)
+{
+  if (mIsToldPartially) {
+    return false;
+  }
+  // Changes of one second come in a few steps; more are read from the store.
+  constexpr int kMostSteps = 4;
+  for (int step = 0; step < kMostSteps; ++step) {
+    const auto askedAt = mScheduler.Now();
+    const auto revision = mRevision;
+    const auto answer = mPeers.Ask(revision, aYield);
+    if (!answer || answer->mIsPartial) {
+      return false;
+    }
+    if (answer->mTo > answer->mFrom) {
+      if (!ApplyPassedOn(*answer)) {
+        return false;
+      }
+      continue;
+    }
+    if (answer->mFrom != mRevision) {
+      // Told of changes while the answer was on its way: ask again.
+      continue;
+    }
+    const duration age = std::chrono::milliseconds(answer->mAgeMs);
+    if (age > kOutage) {
+      return false;
+    }
+    OnAnswer(askedAt - age);
+    return true;
+  }
+  return false;
+}
+
+bool
+platform_sync::ApplyPassedOn(const changes_answer& aChanges)
+{
+  if (aChanges.mFrom != mRevision) {
+    return aChanges.mTo <= mRevision;
+  }
+  auto events = mFeed.Decode(aChanges.mText);
+  if (!events) {
+    Log(log_level::Warn,
+        "passed_on_changes_unreadable",
+        { { "reason", events.error().message() } });
+    return false;
+  }
+  GrantLapseGrace();
+  platform_changes changes;
+  changes.mEvents = std::move(*events);
+  changes.mRevision = aChanges.mTo;
+  changes.mText = aChanges.mText;
+  const auto from = mRevision;
+  Apply(changes, false);
+  Remember(from, changes);
+  return true;
+}
+
+void
+platform_sync::OnTold(const changes_answer& aChanges)
+{
+  if (!mIsHistoryKnown || aChanges.mTo <= mRevision) {
+    return;
+  }
+  const bool isApplied = !aChanges.mIsPartial && ApplyPassedOn(aChanges);
+  mIsToldPartially = mIsToldPartially || aChanges.mIsPartial;
+  if (!isApplied) {
+    mWoken.Set();
+  }
+}
+
+void
+platform_sync::GrantLapseGrace()
+{
+  const auto now = mScheduler.Now();
+  const bool wasAway = mLastAnswer != steady_time() &&
+                       mView.mFreshness.Age(now) > kOutage;
+  if (wasAway) {
+    mLapseGraceUntil = now + kLapseGrace;
+  }
+}
+
 void
 platform_sync::OnAnswer(steady_time aAskedAt)
 {
   const auto now = mScheduler.Now();
+  GrantLapseGrace();
   if (!mIsInContact) {
     mIsInContact = true;
     const bool isFirst = mLastAnswer == steady_time();
     Log(log_level::Info,
         isFirst ? "store_reached" : "store_regained",
         { { "away_ms", isFirst ? "0" : MillisecondsText(now - mLastAnswer) } });
-    if (!isFirst && now - mLastAnswer > kOutage) {
-      mLapseGraceUntil = now + kLapseGrace;
-    }
   }
   mLastAnswer = now;
   mView.mFreshness.Confirm(aAskedAt);
--- a/modules/sync/platform_sync.h
+++ b/modules/sync/platform_sync.h
@@ -2,8 +2,10 @@
 
 #include "core/metrics.h"
 #include "core/random.h"
+#include "modules/sharing/peer_message.h"
 #include "modules/sync/platform_feed.h"
 
+#include <deque>
 #include <map>
 
 namespace cowslipline {
@@ -27,8 +29,28 @@
   bool mIsComplete = false;
 };
 
-/// Follows the store with one watch for everything, so that an instance makes
-/// about one call in two seconds while nothing changes.
+/// The instances of the own availability zone, as far as the sync uses them.
+class sync_peers
+{
+public:
+  virtual ~sync_peers() = default;
+
+  /// True when this instance watches the store for its zone.
+  virtual bool IsReader() const = 0;
+
+  /// Asks the zone's reader; nothing when it does not reply.
+  virtual std::optional<changes_answer> Ask(std::uint64_t aRevision,
+                                            yield_context aYield) = 0;
+
+  /// Tells the zone what has changed.
+  virtual void Tell(const changes_answer& aChanges) = 0;
+};
+
+/// Follows the store. One instance of each availability zone watches it for
+/// everything and passes changes on; the others ask that instance, with one
+/// datagram a second, and ask the store only for a new configuration, after a
+/// gap, and when the reader does not reply or knows nothing recent. So the
+/// calls to the store grow with the zones and not with the instances.
 class platform_sync
 {
 public:
@@ -36,6 +58,7 @@
                 platform_feed& aFeed,
                 platform_view& aView,
                 metrics& aMetrics,
+                sync_peers& aPeers,
                 duration aRevocationBound,
                 std::uint64_t aSeed);
 
@@ -43,9 +66,19 @@
   void Run(yield_context aYield);
   void Stop() { mIsStopped = true; }
 
+  /// A question of another instance of the zone.
+  changes_answer Answer(const changes_question& aQuestion) const;
+  /// Changes that the zone's reader tells unasked.
+  void OnTold(const changes_answer& aChanges);
+
 private:
   bool ReadAll(yield_context aYield);
-  bool Watch(yield_context aYield);
+  bool Watch(duration aWait, yield_context aYield);
+  /// False when the store itself has to be asked.
+  bool Follow(yield_context aYield);
+  bool ApplyPassedOn(const changes_answer& aChanges);
+  void Remember(std::uint64_t aFrom, const platform_changes& aChanges);
+  void GrantLapseGrace();
   void Apply(const platform_changes& aChanges, bool aIsWhole);
   void ApplyConfiguration(const configuration_changed& aChange);
   void RemoveTarget(const std::string& aId);
@@ -57,8 +90,13 @@
   platform_feed& mFeed;
   platform_view& mView;
   metrics& mMetrics;
+  sync_peers& mPeers;
   random_source mRandom;
   duration mWatchWait;
+  event mWoken;
+  /// Changes of late, for those who ask.
+  std::deque<changes_answer> mRecent;
+  bool mIsToldPartially = false;
   bool mIsStopped = false;
   bool mIsInContact = false;
   bool mIsHistoryKnown = false;
--- a/tests/fakes/memory_platform_feed.cpp
+++ b/tests/fakes/memory_platform_feed.cpp
@@ -1,5 +1,7 @@
 #include "tests/fakes/memory_platform_feed.h"
 
+#include <cstdio>
+
 namespace cowslipline::testing {
 
 void
@@ -83,11 +85,33 @@
   for (const auto& [revision, event] : mHistory) {
     if (revision > aAfter) {
       changes.mEvents.push_back(event);
+      changes.mHasConfiguration =
+        changes.mHasConfiguration ||
+        std::holds_alternative<configuration_changed>(event);
     }
   }
+  changes.mText = std::to_string(aAfter) + '-' + std::to_string(mRevision);
   return changes;
 }
 
+result<std::vector<platform_event>>
+memory_platform_feed::Decode(std::string_view aText)
+{
+  // The text is the range of revisions.
+  std::uint64_t from = 0;
+  std::uint64_t to = 0;
+  if (std::sscanf(std::string(aText).c_str(), "%lu-%lu", &from, &to) != 2) {
+    return Fail(errc::MessageMalformed);
+  }
+  std::vector<platform_event> events;
+  for (const auto& [revision, event] : mHistory) {
+    if (revision > from && revision <= to) {
+      events.push_back(event);
+    }
+  }
+  return events;
+}
+
 result<lease_id>
 memory_platform_feed::GrantLease(duration, yield_context)
 {
