--- a/apps/cowslipline-edge/edge_settings.cpp
+++ b/apps/cowslipline-edge/edge_settings.cpp
@@ -105,8 +105,12 @@
   bounds.mFloorShare =
     reader.Number("bounds.floor_share", bounds.mFloorShare, 0, 1);
   auto& owners = bounds.mOwners;
-  owners.mQuotaWindow =
-    reader.Seconds("bounds.quota_window_seconds", owners.mQuotaWindow);
+  auto& quotas = owners.mQuotas;
+  quotas.mWindow =
+    reader.Seconds("bounds.quota_window_seconds", quotas.mWindow);
+  quotas.mOvershoot =
+    reader.Number("bounds.quota_overshoot", quotas.mOvershoot, 0, 10);
+  quotas.mSlack = reader.Number("bounds.quota_slack", quotas.mSlack, 0, 1e6);
   auto& retries = owners.mRetries;
   retries.mRatio = reader.Number("bounds.retry_ratio", retries.mRatio, 0, 10);
   retries.mExtra = reader.Number("bounds.retry_extra", retries.mExtra, 0, 1e6);
--- a/modules/sharing/owner_client.cpp
+++ b/modules/sharing/owner_client.cpp
@@ -27,8 +27,8 @@
   : mScheduler(aScheduler)
   , mMembers(aMembers)
   , mLink(aLink)
-  , mQuotas(aLimits.mQuotaWindow)
-  , mLocalShares(aLimits.mQuotaWindow)
+  , mQuotas(aLimits.mQuotas)
+  , mLocalShares(aLimits.mQuotas)
   , mRetries(aLimits.mRetries, aScheduler.Now())
   , mNextId(aSeed)
 {
--- a/modules/sharing/owner_client.h
+++ b/modules/sharing/owner_client.h
@@ -30,7 +30,7 @@
 
 struct owner_limits
 {
-  duration mQuotaWindow = std::chrono::seconds(5);
+  quota_tolerance mQuotas;
   retry_limit mRetries;
 };
 
--- a/modules/sharing/quota_bucket.cpp
+++ b/modules/sharing/quota_bucket.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace cowslipline {
 
@@ -13,6 +14,9 @@
 // window.
 constexpr double kAtOncePart = 0.4;
 
+// Part of the tolerance's slack that a full bucket may add to a window.
+constexpr double kSlackPart = 0.9;
+
 // Tokens of an owner that does not know what was admitted before.
 constexpr double kFirstTokens = 1;
 
@@ -36,6 +40,19 @@
 
 } // namespace
 
+void
+quota_buckets::Advance(bucket& aBucket, steady_time aNow) const
+{
+  const auto length = mTolerance.mWindow / static_cast<int>(kSlots);
+  const std::int64_t slot = aNow.time_since_epoch() / length;
+  const auto count = static_cast<std::int64_t>(aBucket.mAdmitted.size());
+  const auto passed = std::min(slot - aBucket.mSlot, count);
+  for (std::int64_t i = 0; i < passed; ++i) {
+    aBucket.mAdmitted[static_cast<std::size_t>((slot - i) % count)] = 0;
+  }
+  aBucket.mSlot = std::max(aBucket.mSlot, slot);
+}
+
 quota_decision
 quota_buckets::Admit(std::string_view aOrganisation,
                      const quota_limit& aLimit,
@@ -45,9 +62,12 @@
   if (aLimit.mRate <= 0) {
     return { true, duration(0) };
   }
-  const double size = std::max(1.0, aLimit.mBurst * kAtOncePart);
-  const double rate =
-    aLimit.mRate + aLimit.mBurst * (1 - kAtOncePart) / Seconds(mWindow);
+  const double window = Seconds(mTolerance.mWindow);
+  const double most = std::max(1.0, aLimit.mRate * window + aLimit.mBurst);
+  const double size = std::max(
+    1.0,
+    std::min(aLimit.mBurst * kAtOncePart, mTolerance.mSlack * kSlackPart));
+  const double rate = most / window * (1 + mTolerance.mOvershoot);
   const auto placed = mBuckets.try_emplace(std::string(aOrganisation));
   auto& bucket = placed.first->second;
   if (placed.second) {
@@ -63,15 +83,21 @@
     bucket.mTokens = std::min(bucket.mTokens, kFirstTokens);
   }
   bucket.mEpoch = aEpoch;
-  if (bucket.mTokens >= 1) {
+  Advance(bucket, aNow);
+  const double used =
+    std::accumulate(bucket.mAdmitted.begin(), bucket.mAdmitted.end(), 0.0);
+  if (bucket.mTokens >= 1 && used + 1 <= most) {
     bucket.mTokens -= 1;
+    const auto count = bucket.mAdmitted.size();
+    bucket.mAdmitted[static_cast<std::size_t>(bucket.mSlot) % count] += 1;
     return { true, duration(0) };
   }
   bucket.mRefused += 1;
   // Those refused in the last second come back over the time in which the
   // bucket earns as many tokens.
   const auto turn = std::chrono::duration_cast<duration>(
-    std::chrono::duration<double>((1 - bucket.mTokens + bucket.mRefused) / rate));
+    std::chrono::duration<double>(
+      (std::max(0.0, 1 - bucket.mTokens) + bucket.mRefused) / rate));
   return { false, std::min<duration>(kLongestRetryAfter, turn) };
 }
 
--- a/modules/sharing/quota_bucket.h
+++ b/modules/sharing/quota_bucket.h
@@ -2,6 +2,7 @@
 
 #include "core/time.h"
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -24,20 +25,28 @@
   duration mRetryAfter{ 0 };
 };
 
-/// Token buckets of the organisations that this instance owns. Answers the
-/// load of one organisation that sends many times its rate: it gets its quota
-/// and no more, whichever instances its requests arrive at.
+/// How exactly quotas are kept. Within one window every owner keeps them
+/// exactly; the tolerance is for windows in which the owner changed.
+struct quota_tolerance
+{
+  duration mWindow = std::chrono::seconds(5);
+  double mOvershoot = 0.1; ///< Part of the quota.
+  double mSlack = 20;      ///< Requests.
+};
+
+/// The quotas of the organisations that this instance owns. Answers the load of
+/// one organisation that sends many times its rate: it gets its quota and no
+/// more, whichever instances its requests arrive at.
 ///
-/// The burst belongs to every window, so a part of it is the size of the bucket
-/// and the rest is filled in over the window; that admits more than a bucket
-/// which gives the burst once. Nothing is stored: an owner that has started or
-/// taken over begins with an empty bucket, and the sum over successive owners
-/// still keeps the quota of any window.
+/// A sliding window keeps the quota exactly, and a token bucket spreads it over
+/// the window. Nothing is stored: an owner that has started or taken over begins
+/// with an empty bucket and an unknown window. The bucket's size and rate are
+/// such that the sum over successive owners stays within the tolerance.
 class quota_buckets
 {
 public:
-  explicit quota_buckets(duration aWindow)
-    : mWindow(aWindow)
+  explicit quota_buckets(const quota_tolerance& aTolerance)
+    : mTolerance(aTolerance)
   {
   }
 
@@ -51,15 +60,22 @@
   void Prune(steady_time aNow);
 
 private:
+  static constexpr std::size_t kSlots = 100;
+
   struct bucket
   {
     double mTokens = 0;
+    /// Admitted requests by part of the window, the present one at mSlot.
+    std::array<float, kSlots + 1> mAdmitted{};
+    std::int64_t mSlot = 0;
     steady_time mAskedAt;
     std::uint64_t mEpoch = 0;
     double mRefused = 0; ///< Decays: demand beyond the quota, requests/s.
   };
 
-  duration mWindow;
+  void Advance(bucket& aBucket, steady_time aNow) const;
+
+  quota_tolerance mTolerance;
   std::unordered_map<std::string, bucket> mBuckets;
 };
 
--- a/tests/sharing/test_sharing.cpp
+++ b/tests/sharing/test_sharing.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 const steady_time kStart(1h);
+const quota_tolerance kTolerance{ 5s, 0.1, 20 };
 
 std::size_t
 MostInWindow(const std::vector<steady_time>& aTimes, duration aWindow)
@@ -36,7 +37,7 @@
 TEST(quota_buckets, AdmitsTheQuotaOfAnyWindow)
 {
   const quota_limit limit{ 30, 30 };
-  quota_buckets buckets(5s);
+  quota_buckets buckets(kTolerance);
   random_source random(5);
 
   SECTION("eight times the usual load gets the quota")
@@ -50,8 +51,8 @@
       }
     }
     CHECK(MostInWindow(admitted, 5s) <= 180);
-    // All of the rate and half of the burst of each window.
-    CHECK(admitted.size() >= 30 * 30 + 6 * 15);
+    // All of the rate and nine tenths of the burst of each window.
+    CHECK(admitted.size() >= 30 * 30 + 6 * 27);
   }
   SECTION("the ordinary load is not refused once the owner has settled")
   {
@@ -83,13 +84,13 @@
   const quota_limit limit{ 50, 50 };
   for (const auto ownership : { 300ms, 1500ms, 2500ms, 4000ms }) {
     std::vector<steady_time> admitted;
-    auto owner = std::make_unique<quota_buckets>(5s);
+    auto owner = std::make_unique<quota_buckets>(kTolerance);
     auto since = kStart;
     auto now = kStart;
     for (int i = 0; i < 4000; ++i) {
       now += 4ms;
       if (now - since > ownership) {
-        owner = std::make_unique<quota_buckets>(5s);
+        owner = std::make_unique<quota_buckets>(kTolerance);
         since = now;
       }
       if (owner->Admit("lagos", limit, 1, now).mIsAdmitted) {
@@ -101,7 +102,7 @@
   }
   SECTION("an owner that comes back does not use what it saved meanwhile")
   {
-    quota_buckets buckets(5s);
+    quota_buckets buckets(kTolerance);
     buckets.Admit("lagos", limit, 1, kStart);
     int admitted = 0;
     for (int i = 0; i < 100; ++i) {
