Sync: an instance that was cut off, or whose reader was, catches up in time

Cause: followers believed a reader for 2.5 s after it had lost the store, and an instance back from a cut waited a second before it read everything again. Ruled out: lost pushes; the reader itself had no newer state. Reader waits, follower intervals and the believed age are parts of the time within which a change must be in force.

--- a/apps/cowslipline-edge/edge_settings.cpp
+++ b/apps/cowslipline-edge/edge_settings.cpp
@@ -83,8 +83,7 @@
     table = toml::parse(aText);
   } catch (const toml::parse_error& error) {
     std::ostringstream text;
-    text << "line " << error.source().begin.line << ": "
-         << error.description();
+    text << "line " << error.source().begin.line << ": " << error.description();
     settings.mMistakes.push_back(text.str());
     return settings;
   }
@@ -102,6 +101,8 @@
   auto& bounds = proxy.mBounds;
   bounds.mRevocation =
     reader.Seconds("bounds.revocation_seconds", bounds.mRevocation);
+  bounds.mConfiguration =
+    reader.Seconds("bounds.configuration_seconds", bounds.mConfiguration);
   bounds.mFloorShare =
     reader.Number("bounds.floor_share", bounds.mFloorShare, 0, 1);
   auto& owners = bounds.mOwners;
--- a/apps/cowslipline-edge/main.cpp
+++ b/apps/cowslipline-edge/main.cpp
@@ -99,8 +99,8 @@
   store_feed feed(context, aSettings.mStore);
   std::random_device device;
   const auto seed = (std::uint64_t{ device() } << 32) | device();
-  auto instance = proxy_instance::Create(
-    scheduler, aSettings, PlatformHeaders(), feed, seed);
+  auto instance =
+    proxy_instance::Create(scheduler, aSettings, PlatformHeaders(), feed, seed);
   if (!instance) {
     Log(log_level::Error,
         "start_failed",
--- a/core/http_message.cpp
+++ b/core/http_message.cpp
@@ -217,8 +217,7 @@
   head_limits limits;
   limits.mBytes = kResponseHeadBytes;
   while (true) {
-    const auto bytes =
-      ReadHeadBytes(aStream, limits.mBytes, aDeadline, aYield);
+    const auto bytes = ReadHeadBytes(aStream, limits.mBytes, aDeadline, aYield);
     if (!bytes) {
       return Fail(bytes.error());
     }
@@ -235,11 +234,10 @@
     const bool hasBody = !aIsHeadRequest && response.mHead.mStatus != 204 &&
                          response.mHead.mStatus != 304;
     const bool isFramed = !hasBody || framing.mIsChunked || framing.mLength;
-    auto body =
-      !hasBody ? result<std::string>(std::string())
-      : isFramed
-        ? ReadBody(aStream, framing, aLimitBytes, aDeadline, aYield)
-        : ReadUntilEnd(aStream, aLimitBytes, aDeadline, aYield);
+    auto body = !hasBody ? result<std::string>(std::string())
+                : isFramed
+                  ? ReadBody(aStream, framing, aLimitBytes, aDeadline, aYield)
+                  : ReadUntilEnd(aStream, aLimitBytes, aDeadline, aYield);
     if (!body) {
       return Fail(body.error());
     }
--- a/core/http_message.h
+++ b/core/http_message.h
@@ -20,7 +20,6 @@
   bool mIsConnectionReusable = false;
 };
 
-
 /// Reads a head; the bytes are taken from the buffer. Errors: those of the
 /// stream, errc::MessageMalformed, errc::TooLarge.
 result<std::string>
--- a/core/log.cpp
+++ b/core/log.cpp
@@ -88,9 +88,7 @@
 } // namespace
 
 void
-ConfigureLog(log_level aLevel,
-             std::string_view aInstance,
-             log_stream aStream)
+ConfigureLog(log_level aLevel, std::string_view aInstance, log_stream aStream)
 {
   auto& state = State();
   const std::lock_guard<std::mutex> lock(state.mMutex);
--- a/core/tcp_stream.cpp
+++ b/core/tcp_stream.cpp
@@ -209,8 +209,7 @@
   char byte = 0;
   const auto count =
     ::recv(mSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return count == 0 ||
-         (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+  return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
 void
--- a/modules/placement/retry_accounts.cpp
+++ b/modules/placement/retry_accounts.cpp
@@ -27,9 +27,9 @@
 
 bool
 retry_accounts::Take(std::string_view aService,
-                   std::uint32_t aRequests,
-                   std::uint64_t aEpoch,
-                   steady_time aNow)
+                     std::uint32_t aRequests,
+                     std::uint64_t aEpoch,
+                     steady_time aNow)
 {
   const double extra = mLimit.mExtra * kUsedPart;
   const double most = extra * kAtOncePart;
--- a/modules/placement/target_chooser.cpp
+++ b/modules/placement/target_chooser.cpp
@@ -92,8 +92,8 @@
               return aEvidence.Suspicion(aCandidates[aLeft].mId, aNow) >
                      aEvidence.Suspicion(aCandidates[aRight].mId, aNow);
             });
-  const auto mostAvoided = static_cast<std::size_t>(std::ceil(
-    static_cast<double>(count - confirmed) * (1 - mFloorShare)));
+  const auto mostAvoided = static_cast<std::size_t>(
+    std::ceil(static_cast<double>(count - confirmed) * (1 - mFloorShare)));
   for (std::size_t i = 0; i < std::min(mostAvoided, suspects.size()); ++i) {
     isAvoided[suspects[i]] = true;
   }
@@ -145,8 +145,7 @@
   const auto drawn = [&](const std::vector<std::size_t>& aIndices) {
     const auto first = aIndices[mRandom.Below(aIndices.size())];
     const auto second = aIndices[mRandom.Below(aIndices.size())];
-    return LoadOf(aCandidates[first], aNow) <=
-               LoadOf(aCandidates[second], aNow)
+    return LoadOf(aCandidates[first], aNow) <= LoadOf(aCandidates[second], aNow)
              ? first
              : second;
   };
@@ -201,9 +200,8 @@
                               std::uint32_t aRequests,
                               steady_time aNow)
 {
-  mLoads[std::string(aTarget)].mRemote[std::string(aInstance)] = {
-    aRequests, aNow
-  };
+  mLoads[std::string(aTarget)].mRemote[std::string(aInstance)] = { aRequests,
+                                                                   aNow };
 }
 
 std::vector<std::pair<std::string, std::uint32_t>>
@@ -224,7 +222,8 @@
   for (auto load = mLoads.begin(); load != mLoads.end();) {
     auto& remote = load->second.mRemote;
     for (auto report = remote.begin(); report != remote.end();) {
-      const bool isOld = aNow - report->second.mReportedAt > kRemoteLoadValidity;
+      const bool isOld =
+        aNow - report->second.mReportedAt > kRemoteLoadValidity;
       report = isOld ? remote.erase(report) : std::next(report);
     }
     const bool isUnused = load->second.mLocal == 0 && remote.empty();
--- a/modules/placement/target_records.cpp
+++ b/modules/placement/target_records.cpp
@@ -82,8 +82,8 @@
 
 bool
 target_records::Observe(std::string_view aTarget,
-                         exchange_outcome aOutcome,
-                         steady_time aNow)
+                        exchange_outcome aOutcome,
+                        steady_time aNow)
 {
   auto& record = mRecords[std::string(aTarget)];
   Decay(record, aNow);
@@ -108,8 +108,8 @@
       record.mFailures += 1;
       const double share =
         record.mFailures / (record.mFailures + record.mSuccesses);
-      if (record.mIsOnTrial || (record.mFailures >= kFailuresOfFault &&
-                                share >= kShareOfFault)) {
+      if (record.mIsOnTrial ||
+          (record.mFailures >= kFailuresOfFault && share >= kShareOfFault)) {
         Avoid(record, kFirstAvoidance, aNow);
       }
       // Told to others each time: they add up the failures.
--- a/modules/proxy/caller_session.cpp
+++ b/modules/proxy/caller_session.cpp
@@ -76,7 +76,8 @@
   while (mStream.Buffered().empty()) {
     // A caller that knows the longer of two limits keeps to that one.
     const auto limit =
-      std::max({ before, Limits().mIdleTimeout,
+      std::max({ before,
+                 Limits().mIdleTimeout,
                  mIsFirst ? duration(kFirstRequestTimeout) : duration(0) });
     const auto deadline = idleSince + limit;
     if (mServices.mScheduler.Now() >= deadline) {
@@ -98,10 +99,8 @@
   const auto limits = Limits();
   head_limits headLimits;
   headLimits.mBytes = limits.mHeadBytes;
-  const auto bytes = ReadHeadBytes(mStream,
-                                   limits.mHeadBytes,
-                                   aReceivedAt + limits.mHeadTimeout,
-                                   aYield);
+  const auto bytes = ReadHeadBytes(
+    mStream, limits.mHeadBytes, aReceivedAt + limits.mHeadTimeout, aYield);
   if (!bytes) {
     if (bytes.error() == errc::TooLarge) {
       return OwnAnswer(431, refusal_cause::TooLarge);
@@ -132,14 +131,14 @@
   if (aRequest.mHead.mHeaders.HasToken("Expect", "100-continue")) {
     static constexpr std::string_view kContinue =
       "HTTP/1.1 100 Continue\r\n\r\n";
-    if (!mStream.Write(
-          { asio::buffer(kContinue.data(), kContinue.size()) }, deadline, aYield)) {
+    if (!mStream.Write({ asio::buffer(kContinue.data(), kContinue.size()) },
+                       deadline,
+                       aYield)) {
       mStream.Close();
       return OwnAnswer(400, refusal_cause::Malformed);
     }
   }
-  auto body =
-    ReadBody(mStream, framing, limits.mBodyBytes, deadline, aYield);
+  auto body = ReadBody(mStream, framing, limits.mBodyBytes, deadline, aYield);
   if (body) {
     aRequest.mBody = std::move(*body);
     return std::nullopt;
--- a/modules/proxy/caller_session.h
+++ b/modules/proxy/caller_session.h
@@ -28,8 +28,8 @@
   /// False when the connection is to be closed.
   bool ServeOne(yield_context aYield);
   std::optional<proxy_answer> ReadRequest(http_request& aRequest,
-                                           steady_time aReceivedAt,
-                                           yield_context aYield);
+                                          steady_time aReceivedAt,
+                                          yield_context aYield);
   void WatchForEnd(request_handler& aHandler);
   bool Respond(proxy_answer& aAnswer,
                bool aIsHeadRequest,
--- a/modules/proxy/end_to_end_headers.cpp
+++ b/modules/proxy/end_to_end_headers.cpp
@@ -8,9 +8,15 @@
 namespace {
 
 constexpr std::array<std::string_view, 10> kConnectionHeaders = {
-  "Connection",          "Keep-Alive",         "Proxy-Connection",
-  "Proxy-Authenticate",  "Proxy-Authorization", "TE",
-  "Trailer",             "Transfer-Encoding",  "Upgrade",
+  "Connection",
+  "Keep-Alive",
+  "Proxy-Connection",
+  "Proxy-Authenticate",
+  "Proxy-Authorization",
+  "TE",
+  "Trailer",
+  "Transfer-Encoding",
+  "Upgrade",
   "Content-Length",
 };
 
--- a/modules/proxy/fleet_evidence.cpp
+++ b/modules/proxy/fleet_evidence.cpp
@@ -90,7 +90,8 @@
 void
 fleet_evidence::OnReport(const target_report& aReport)
 {
-  if (aReport.mOutcome > static_cast<std::uint8_t>(exchange_outcome::Abandoned)) {
+  if (aReport.mOutcome >
+      static_cast<std::uint8_t>(exchange_outcome::Abandoned)) {
     return;
   }
   mEvidence.Observe(aReport.mTarget,
@@ -131,12 +132,10 @@
   }
   auto told = report;
   for (const auto& [target, requests] : mLastLoad.mRequests) {
-    const bool isGone =
-      std::none_of(report.mRequests.begin(),
-                   report.mRequests.end(),
-                   [&name = target](const auto& aEntry) {
-                     return aEntry.first == name;
-                   });
+    const bool isGone = std::none_of(
+      report.mRequests.begin(),
+      report.mRequests.end(),
+      [&name = target](const auto& aEntry) { return aEntry.first == name; });
     if (isGone) {
       told.mRequests.emplace_back(target, 0);
     }
--- a/modules/proxy/page_server.cpp
+++ b/modules/proxy/page_server.cpp
@@ -77,8 +77,7 @@
       bool isKept = true;
       while (isKept) {
         const auto deadline = ReadBootClock() + kIdleTimeout;
-        const auto bytes =
-          ReadHeadBytes(*stream, kHeadBytes, deadline, aYield);
+        const auto bytes = ReadHeadBytes(*stream, kHeadBytes, deadline, aYield);
         const auto head = bytes ? ParseRequestHead(*bytes, head_limits())
                                 : tl::unexpected(head_error::Malformed);
         if (!head) {
--- a/modules/proxy/proxy_instance.cpp
+++ b/modules/proxy/proxy_instance.cpp
@@ -36,13 +36,8 @@
   if (!link) {
     return Fail(link.error());
   }
-  std::unique_ptr<proxy_instance> instance(
-    new proxy_instance(aScheduler,
-                       aSettings,
-                       std::move(aNames),
-                       aFeed,
-                       std::move(*link),
-                       aSeed));
+  std::unique_ptr<proxy_instance> instance(new proxy_instance(
+    aScheduler, aSettings, std::move(aNames), aFeed, std::move(*link), aSeed));
   for (const auto& opened :
        { instance->mListener.Open(aSettings.mCallers),
          instance->mReadiness.Open(aSettings.mReadiness),
@@ -77,9 +72,12 @@
             aSettings.mBounds.mOwners,
             mRandom.Next() >> 1)
   , mReports(aScheduler, mView.mMembers, *mLink, mEvidence, mChooser, mCrashes)
-  , mServices{ aScheduler, aScheduler.Context(), mSettings, std::move(aNames),
-               mView,      mEvidence,            mChooser,  mCrashes,
-               mOwners,    mReports,             mPool,     mMetrics,
+  , mServices{ aScheduler, aScheduler.Context(),
+               mSettings,  std::move(aNames),
+               mView,      mEvidence,
+               mChooser,   mCrashes,
+               mOwners,    mReports,
+               mPool,      mMetrics,
                mRandom }
   , mZone(aScheduler, mView.mMembers, *mLink, mRandom.Next() >> 1)
   , mSync(aScheduler,
@@ -87,7 +85,7 @@
           mView,
           mMetrics,
           mZone,
-          aSettings.mBounds.mRevocation,
+          aSettings.mBounds.mConfiguration,
           mRandom.Next())
   , mRegistration(aScheduler, aFeed, mView.mMembers.Self())
   , mListener(mServices)
--- a/modules/proxy/proxy_settings.h
+++ b/modules/proxy/proxy_settings.h
@@ -12,6 +12,8 @@
 {
   /// A withdrawn key stops working within this time.
   duration mRevocation = std::chrono::seconds(5);
+  /// A change of the configuration is in force within this time.
+  duration mConfiguration = std::chrono::seconds(2);
   /// Share of a service's sound targets that stays in use.
   double mFloorShare = 0.7;
   owner_limits mOwners;
--- a/modules/proxy/request_handler.cpp
+++ b/modules/proxy/request_handler.cpp
@@ -230,8 +230,9 @@
                               mRequest.mHead.Path());
   if (mRoute == nullptr) {
     // A newer configuration that this instance cannot read may have it.
-    return isFresh ? Refuse(404, refusal_cause::NoRoute)
-                   : Refuse(503, refusal_cause::ConfigurationStale, kUsualReturn);
+    return isFresh
+             ? Refuse(404, refusal_cause::NoRoute)
+             : Refuse(503, refusal_cause::ConfigurationStale, kUsualReturn);
   }
   if (mRoute->mTimeout > duration(0)) {
     mDeadline = std::min(mDeadline, mReceivedAt + mRoute->mTimeout);
@@ -264,16 +265,16 @@
 std::optional<proxy_answer>
 request_handler::CheckQuota(yield_context aYield)
 {
-  const auto admission = mServices.mOwners.Admit(
-    mOrganisation->mName,
-    { mOrganisation->mRate, mOrganisation->mBurst },
-    aYield);
+  const auto admission =
+    mServices.mOwners.Admit(mOrganisation->mName,
+                            { mOrganisation->mRate, mOrganisation->mBurst },
+                            aYield);
   mQuotaSource = SourceName(admission.mSource);
   if (!admission.mDecision.mIsAdmitted) {
-    return Refuse(429,
-                  refusal_cause::OverQuota,
-                  std::max<duration>(admission.mDecision.mRetryAfter,
-                                     kShortestReturn));
+    return Refuse(
+      429,
+      refusal_cause::OverQuota,
+      std::max<duration>(admission.mDecision.mRetryAfter, kShortestReturn));
   }
   return std::nullopt;
 }
@@ -284,16 +285,16 @@
   if (mRoute->mShares.size() == 1) {
     mService = mRoute->mShares.front().mService;
   } else {
-    const auto placed = mServices.mShares.try_emplace(
-      mRoute->mName, mServices.mRandom.Unit());
+    const auto placed =
+      mServices.mShares.try_emplace(mRoute->mName, mServices.mRandom.Unit());
     mService = placed.first->second.Pick(mRoute->mShares);
   }
   const std::string organisation =
     mOrganisation == nullptr ? std::string() : mOrganisation->mName;
-  mFingerprint = Hash64(mRequest.mBody,
-                        Hash64(mService + '\n' + organisation + '\n' +
-                               mRequest.mHead.mMethod + '\n' +
-                               mRequest.mHead.mTarget));
+  mFingerprint =
+    Hash64(mRequest.mBody,
+           Hash64(mService + '\n' + organisation + '\n' +
+                  mRequest.mHead.mMethod + '\n' + mRequest.mHead.mTarget));
   if (mServices.mCrashes.IsBlocked(mFingerprint, mServices.mScheduler.Now())) {
     return Refuse(502, refusal_cause::CrashesTargets);
   }
@@ -317,8 +318,8 @@
   }
   bool isHedged = false;
   while (true) {
-    const bool canHedge = !isHedged && MayRepeat() &&
-                          mRoute->mLatencyObjective > duration(0);
+    const bool canHedge =
+      !isHedged && MayRepeat() && mRoute->mLatencyObjective > duration(0);
     const auto wake = NextWake(canHedge);
     const auto wait = wake - mServices.mScheduler.Now();
     if (wait > duration(0)) {
@@ -403,10 +404,9 @@
     return;
   }
   for (const auto& open : mProgress->mAttempts) {
-    const bool isOverdue =
-      !open->mResult && !open->mIsOverdue &&
-      mServices.mScheduler.Now() - open->mStartedAt >=
-        mRoute->mLatencyObjective;
+    const bool isOverdue = !open->mResult && !open->mIsOverdue &&
+                           mServices.mScheduler.Now() - open->mStartedAt >=
+                             mRoute->mLatencyObjective;
     if (isOverdue) {
       // Told before the deadline: other requests would wait at the same
       // silent target meanwhile.
@@ -453,8 +453,8 @@
   placement_request request;
   request.mIsRepeatable = mRoute->mRepeat == repeat_rule::Idempotent;
   request.mTried = mTried;
-  const auto chosen = mServices.mChooser.Choose(
-    candidates, request, mServices.mEvidence, now);
+  const auto chosen =
+    mServices.mChooser.Choose(candidates, request, mServices.mEvidence, now);
   if (!chosen) {
     return refusal_cause::NoTarget;
   }
@@ -536,12 +536,13 @@
     return FromTarget(std::move(*mTargetFailure));
   }
   // An attempt that is still open may run.
-  const bool mayRun = mMayHaveRun || std::any_of(
-    mProgress->mAttempts.begin(),
-    mProgress->mAttempts.end(),
-    [](const auto& aAttempt) {
-      return !aAttempt->mResult && aAttempt->mExchange->IsSent();
-    });
+  const bool mayRun =
+    mMayHaveRun ||
+    std::any_of(mProgress->mAttempts.begin(),
+                mProgress->mAttempts.end(),
+                [](const auto& aAttempt) {
+                  return !aAttempt->mResult && aAttempt->mExchange->IsSent();
+                });
   for (const auto& open : mProgress->mAttempts) {
     if (!open->mResult && !open->mExchange->IsSent()) {
       open->mExchange->Cancel();
@@ -560,9 +561,9 @@
   }
   const auto span = kLongestReturn - kShortestReturn;
   const auto spread =
-    kShortestReturn + duration(static_cast<duration::rep>(
-                        mServices.mRandom.Unit() *
-                        static_cast<double>(span.count())));
+    kShortestReturn +
+    duration(static_cast<duration::rep>(mServices.mRandom.Unit() *
+                                        static_cast<double>(span.count())));
   return Refuse(503, aCause, spread);
 }
 
@@ -590,7 +591,8 @@
       attempts += '(' + sent->mResult->mReason + ')';
     }
   }
-  const auto status = aAnswer ? std::to_string(aAnswer->mStatus) : "caller_left";
+  const auto status =
+    aAnswer ? std::to_string(aAnswer->mStatus) : "caller_left";
   mServices.mMetrics
     .Counter("cowslipline_requests_total{status=\"" + status + "\",cause=\"" +
              CauseName(cause) + "\"}")
@@ -598,24 +600,24 @@
   mServices.mMetrics.ObserveSeconds(
     "cowslipline_request_seconds",
     std::chrono::duration<double>(now - mReceivedAt).count());
-  Log(cause == refusal_cause::None ? log_level::Info : log_level::Warn,
-      "request",
-      { { "request", mRequestId },
-        { "status", status },
-        { "cause", CauseName(cause) },
-        { "route", mRoute == nullptr ? "" : mRoute->mName },
-        { "organisation",
-          mOrganisation == nullptr ? "" : mOrganisation->mName },
-        { "service", mService },
-        { "attempts", attempts },
-        { "quota", mQuotaSource },
-        { "took_ms", Milliseconds(now - mReceivedAt) },
-        { "left_ms", Milliseconds(mDeadline - now) },
-        { "version",
-          mRoutes ? std::to_string(mRoutes->Configuration().mVersion) : "0" },
-        { "configuration_age_ms",
-          Milliseconds(std::min<duration>(
-            mServices.mView.mFreshness.Age(now), std::chrono::hours(24))) } });
+  Log(
+    cause == refusal_cause::None ? log_level::Info : log_level::Warn,
+    "request",
+    { { "request", mRequestId },
+      { "status", status },
+      { "cause", CauseName(cause) },
+      { "route", mRoute == nullptr ? "" : mRoute->mName },
+      { "organisation", mOrganisation == nullptr ? "" : mOrganisation->mName },
+      { "service", mService },
+      { "attempts", attempts },
+      { "quota", mQuotaSource },
+      { "took_ms", Milliseconds(now - mReceivedAt) },
+      { "left_ms", Milliseconds(mDeadline - now) },
+      { "version",
+        mRoutes ? std::to_string(mRoutes->Configuration().mVersion) : "0" },
+      { "configuration_age_ms",
+        Milliseconds(std::min<duration>(mServices.mView.mFreshness.Age(now),
+                                        std::chrono::hours(24))) } });
 }
 
 } // namespace cowslipline
--- a/modules/proxy/request_handler.h
+++ b/modules/proxy/request_handler.h
@@ -92,8 +92,8 @@
   steady_time NextWake(bool aIsHedgePossible) const;
 
   proxy_answer Refuse(int aStatus,
-                       refusal_cause aCause,
-                       duration aRetryAfter = duration(0)) const;
+                      refusal_cause aCause,
+                      duration aRetryAfter = duration(0)) const;
   /// The answer when no further target can be tried.
   proxy_answer GiveUp(refusal_cause aCause);
   proxy_answer FromTarget(http_response aResponse) const;
--- a/modules/proxy/target_exchange.cpp
+++ b/modules/proxy/target_exchange.cpp
@@ -57,11 +57,12 @@
 
 } // namespace
 
-target_exchange::target_exchange(asio::io_context& aContext,
-                                 upstream_pool& aPool,
-                                 const header_dialect& aNames,
-                                 std::shared_ptr<const outgoing_request> aRequest,
-                                 const target_entry& aTarget)
+target_exchange::target_exchange(
+  asio::io_context& aContext,
+  upstream_pool& aPool,
+  const header_dialect& aNames,
+  std::shared_ptr<const outgoing_request> aRequest,
+  const target_entry& aTarget)
   : mContext(aContext)
   , mPool(aPool)
   , mNames(aNames)
@@ -158,13 +159,12 @@
   // The rest is written while the answer is awaited: a target may answer
   // before it has read a long body.
   auto rest = std::make_shared<std::string>(mHead + mRequest->mBody);
-  asio::async_write(
-    mStream->Socket(),
-    asio::buffer(*rest) + written,
-    [self = shared_from_this(), rest](const asio::error_code& aError,
-                                      std::size_t) {
-      self->mIsWritten = !aError;
-    });
+  asio::async_write(mStream->Socket(),
+                    asio::buffer(*rest) + written,
+                    [self = shared_from_this(),
+                     rest](const asio::error_code& aError, std::size_t) {
+                      self->mIsWritten = !aError;
+                    });
   return true;
 }
 
@@ -172,19 +172,15 @@
 target_exchange::ReadAnswer(steady_time aDeadline, yield_context aYield)
 {
   while (true) {
-    auto response = ReadResponse(*mStream,
-                                 mRequest->mMethod == "HEAD",
-                                 kAnswerBytes,
-                                 aDeadline,
-                                 aYield);
+    auto response = ReadResponse(
+      *mStream, mRequest->mMethod == "HEAD", kAnswerBytes, aDeadline, aYield);
     if (!response && response.error() == errc::Timeout) {
       mStream->Close();
       return Fail(exchange_outcome::TimedOut, true, "no_answer");
     }
     if (!response) {
       mStream->Close();
-      return Fail(
-        exchange_outcome::Broken, true, response.error().message());
+      return Fail(exchange_outcome::Broken, true, response.error().message());
     }
     const auto id = response->mHead.mHeaders.Find(mNames.mRequestId);
     if (id && *id != mRequest->mRequestId) {
--- a/modules/sharing/member_table.cpp
+++ b/modules/sharing/member_table.cpp
@@ -88,8 +88,8 @@
 bool
 member_table::IsInUse(const member_state& aState, steady_time aNow) const
 {
-  const bool isHeard = aState.mHeardAt != steady_time() &&
-                       aNow - aState.mHeardAt < kHeardValidity;
+  const bool isHeard =
+    aState.mHeardAt != steady_time() && aNow - aState.mHeardAt < kHeardValidity;
   return (aState.mIsRegistered || isHeard) && aNow >= aState.mPassedOverUntil;
 }
 
--- a/modules/sharing/owner_client.cpp
+++ b/modules/sharing/owner_client.cpp
@@ -95,10 +95,8 @@
   }
   const double part =
     kLocalPart / static_cast<double>(mMembers.Count(mScheduler.Now()));
-  return { mLocalShares.Admit(aOrganisation,
-                              { aLimit.mRate * part, 0 },
-                              0,
-                              mScheduler.Now()),
+  return { mLocalShares.Admit(
+             aOrganisation, { aLimit.mRate * part, 0 }, 0, mScheduler.Now()),
            quota_source::LocalShare };
 }
 
@@ -127,8 +125,8 @@
 {
   const auto decision = mQuotas.Admit(
     aQuestion.mOrganisation, aLimit, mMembers.Epoch(), mScheduler.Now());
-  const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
-    decision.mRetryAfter);
+  const auto wait =
+    std::chrono::duration_cast<std::chrono::milliseconds>(decision.mRetryAfter);
   mLink.Send(owner_answer{ aQuestion.mId,
                            decision.mIsAdmitted,
                            static_cast<std::uint32_t>(wait.count()) },
--- a/modules/sharing/peer_message.cpp
+++ b/modules/sharing/peer_message.cpp
@@ -25,17 +25,17 @@
 json
 Encode(const std::string& aSender, const target_report& aReport)
 {
-  return { kProtocolVersion,  static_cast<int>(message_kind::Outcome),
-           aSender,           aReport.mTarget,
-           aReport.mOutcome,  aReport.mIsToRelay };
+  return { kProtocolVersion, static_cast<int>(message_kind::Outcome),
+           aSender,          aReport.mTarget,
+           aReport.mOutcome, aReport.mIsToRelay };
 }
 
 json
 Encode(const std::string& aSender, const crash_report& aReport)
 {
-  return { kProtocolVersion,     static_cast<int>(message_kind::Crash),
-           aSender,              aReport.mFingerprint,
-           aReport.mTarget,      aReport.mIsToRelay };
+  return { kProtocolVersion, static_cast<int>(message_kind::Crash),
+           aSender,          aReport.mFingerprint,
+           aReport.mTarget,  aReport.mIsToRelay };
 }
 
 json
@@ -76,9 +76,12 @@
 json
 Encode(const std::string& aSender, const owner_answer& aAnswer)
 {
-  return { kProtocolVersion,    static_cast<int>(message_kind::OwnerAnswer),
-           aSender,             aAnswer.mId,
-           aAnswer.mIsAdmitted, aAnswer.mRetryAfterMs };
+  return { kProtocolVersion,
+           static_cast<int>(message_kind::OwnerAnswer),
+           aSender,
+           aAnswer.mId,
+           aAnswer.mIsAdmitted,
+           aAnswer.mRetryAfterMs };
 }
 
 json
@@ -94,14 +97,10 @@
 json
 Encode(const std::string& aSender, const changes_answer& aAnswer)
 {
-  return { kProtocolVersion,
-           static_cast<int>(message_kind::ChangesAnswer),
-           aSender,
-           aAnswer.mId,
-           aAnswer.mFrom,
-           aAnswer.mTo,
-           aAnswer.mAgeMs,
-           aAnswer.mIsPartial,
+  return { kProtocolVersion, static_cast<int>(message_kind::ChangesAnswer),
+           aSender,          aAnswer.mId,
+           aAnswer.mFrom,    aAnswer.mTo,
+           aAnswer.mAgeMs,   aAnswer.mIsPartial,
            aAnswer.mText };
 }
 
@@ -203,8 +202,8 @@
       !(*fields)[1].is_number_unsigned() || !(*fields)[2].is_string()) {
     return Fail(errc::MessageMalformed);
   }
-  auto payload = DecodePayload(
-    static_cast<message_kind>((*fields)[1].get<int>()), *fields);
+  auto payload =
+    DecodePayload(static_cast<message_kind>((*fields)[1].get<int>()), *fields);
   if (!payload) {
     return Fail(payload.error());
   }
--- a/modules/sharing/quota_bucket.cpp
+++ b/modules/sharing/quota_bucket.cpp
@@ -65,8 +65,7 @@
   const double window = Seconds(mTolerance.mWindow);
   const double most = std::max(1.0, aLimit.mRate * window + aLimit.mBurst);
   const double size = std::max(
-    1.0,
-    std::min(aLimit.mBurst * kAtOncePart, mTolerance.mSlack * kSlackPart));
+    1.0, std::min(aLimit.mBurst * kAtOncePart, mTolerance.mSlack * kSlackPart));
   const double rate = most / window * (1 + mTolerance.mOvershoot);
   const auto placed = mBuckets.try_emplace(std::string(aOrganisation));
   auto& bucket = placed.first->second;
@@ -95,8 +94,8 @@
   bucket.mRefused += 1;
   // Those refused in the last second come back over the time in which the
   // bucket earns as many tokens.
-  const auto turn = std::chrono::duration_cast<duration>(
-    std::chrono::duration<double>(
+  const auto turn =
+    std::chrono::duration_cast<duration>(std::chrono::duration<double>(
       (std::max(0.0, 1 - bucket.mTokens) + bucket.mRefused) / rate));
   return { false, std::min<duration>(kLongestRetryAfter, turn) };
 }
--- a/modules/sharing/quota_bucket.h
+++ b/modules/sharing/quota_bucket.h
@@ -39,9 +39,10 @@
 /// more, whichever instances its requests arrive at.
 ///
 /// A sliding window keeps the quota exactly, and a token bucket spreads it over
-/// the window. Nothing is stored: an owner that has started or taken over begins
-/// with an empty bucket and an unknown window. The bucket's size and rate are
-/// such that the sum over successive owners stays within the tolerance.
+/// the window. Nothing is stored: an owner that has started or taken over
+/// begins with an empty bucket and an unknown window. The bucket's size and
+/// rate are such that the sum over successive owners stays within the
+/// tolerance.
 class quota_buckets
 {
 public:
--- a/modules/sync/platform_sync.cpp
+++ b/modules/sync/platform_sync.cpp
@@ -10,10 +10,14 @@
 
 using namespace std::chrono_literals;
 
-// A watch waits this part of the revocation bound. An answer proves the state at
-// the time of its question, and holds until the next answer: at a reader the
-// proof is up to two waits old, at a follower one question's interval more.
-constexpr int kWatchPart = 6;
+// Parts of the time within which a change must be in force. A reader that has
+// lost the store is noticed by its age: the oldest proof that is believed, a
+// follower's interval and one call to the store have to fit into that time. A
+// proof counts from its question and lasts until the next answer, so a sound
+// reader's is up to two waits old.
+constexpr double kWatchPart = 0.25;
+constexpr double kBelievedPart = 0.55;
+constexpr double kFollowPart = 0.3;
 
 // Between two watches after changes. Changes come in series, and each answer
 // is a call that is paid for.
@@ -21,7 +25,7 @@
 
 // Between two tries while the store is away, drawn between half and all of it,
 // so that the fleet does not come back in step.
-constexpr duration kRetryWait = 500ms;
+constexpr duration kRetryWait = 300ms;
 
 // Entries that lapsed during an outage are back within two seconds of its end.
 constexpr duration kLapseGrace = 2s;
@@ -29,16 +33,18 @@
 // An outage of this length may make entries lapse.
 constexpr duration kOutage = 2500ms;
 
-// Followers ask this often; half a second is left of the two seconds in which
-// a leaving target must be known.
-constexpr duration kFollowInterval = 1s;
-
 // Changes that a reader keeps for followers that missed a datagram.
 constexpr std::size_t kRecentChanges = 64;
 
 // Longer texts are not passed on: they would not arrive in one datagram.
 constexpr std::size_t kPassedOnBytes = 4096;
 
+duration
+PartOf(duration aDuration, double aPart)
+{
+  return std::chrono::duration_cast<duration>(aDuration * aPart);
+}
+
 std::string
 MillisecondsText(duration aDuration)
 {
@@ -53,7 +59,7 @@
                              platform_view& aView,
                              metrics& aMetrics,
                              sync_peers& aPeers,
-                             duration aRevocationBound,
+                             duration aConfigurationBound,
                              std::uint64_t aSeed)
   : mScheduler(aScheduler)
   , mFeed(aFeed)
@@ -61,7 +67,9 @@
   , mMetrics(aMetrics)
   , mPeers(aPeers)
   , mRandom(aSeed)
-  , mWatchWait(aRevocationBound / kWatchPart)
+  , mWatchWait(PartOf(aConfigurationBound, kWatchPart))
+  , mFollowInterval(PartOf(aConfigurationBound, kFollowPart))
+  , mBelievedAge(PartOf(aConfigurationBound, kBelievedPart))
 {
 }
 
@@ -69,22 +77,7 @@
 platform_sync::Run(yield_context aYield)
 {
   while (!mIsStopped) {
-    bool isDone = false;
-    if (!mIsHistoryKnown) {
-      isDone = ReadAll(aYield);
-    } else if (mPeers.IsReader()) {
-      // After an outage the first watch asks for what has changed and returns
-      // at once: it proves that the configuration is current.
-      isDone = Watch(mIsInContact ? mWatchWait : duration(1ms), aYield);
-    } else if (Follow(aYield)) {
-      mWoken.Wait(mScheduler, kFollowInterval, aYield);
-      isDone = true;
-    } else {
-      isDone = Watch(1ms, aYield);
-      if (isDone) {
-        mWoken.Wait(mScheduler, kFollowInterval, aYield);
-      }
-    }
+    const bool isDone = Step(aYield);
     DropLapsedTargets();
     if (!isDone && !mIsStopped) {
       const auto wait =
@@ -95,6 +88,30 @@
   }
 }
 
+bool
+platform_sync::Step(yield_context aYield)
+{
+  if (!mIsHistoryKnown) {
+    return ReadAll(aYield);
+  }
+  if (!mIsInContact) {
+    // A watch that does not wait proves at once that the configuration is
+    // current. The store goes first: an instance that was cut off alone is
+    // back soonest that way.
+    return Watch(1ms, aYield) || Follow(aYield);
+  }
+  if (mPeers.IsReader()) {
+    return Watch(mWatchWait, aYield);
+  }
+  if (!Follow(aYield) && !Watch(1ms, aYield)) {
+    return false;
+  }
+  if (mIsHistoryKnown) {
+    mWoken.Wait(mScheduler, mFollowInterval, aYield);
+  }
+  return true;
+}
+
 bool
 platform_sync::ReadAll(yield_context aYield)
 {
@@ -172,8 +189,8 @@
   answer.mId = aQuestion.mId;
   answer.mFrom = aQuestion.mRevision;
   answer.mTo = aQuestion.mRevision;
-  const auto age = std::min<duration>(
-    mView.mFreshness.Age(mScheduler.Now()), std::chrono::hours(1));
+  const auto age = std::min<duration>(mView.mFreshness.Age(mScheduler.Now()),
+                                      std::chrono::hours(1));
   answer.mAgeMs = static_cast<std::uint32_t>(age / 1ms) + 1;
   if (mRevision == aQuestion.mRevision) {
     return answer;
@@ -219,7 +236,7 @@
       continue;
     }
     const duration age = std::chrono::milliseconds(answer->mAgeMs);
-    if (age > kOutage) {
+    if (age > mBelievedAge) {
       return false;
     }
     OnAnswer(askedAt - age);
@@ -269,8 +286,8 @@
 platform_sync::GrantLapseGrace()
 {
   const auto now = mScheduler.Now();
-  const bool wasAway = mLastAnswer != steady_time() &&
-                       mView.mFreshness.Age(now) > kOutage;
+  const bool wasAway =
+    mLastAnswer != steady_time() && mView.mFreshness.Age(now) > kOutage;
   if (wasAway) {
     mLapseGraceUntil = now + kLapseGrace;
   }
--- a/modules/sync/platform_sync.h
+++ b/modules/sync/platform_sync.h
@@ -54,12 +54,13 @@
 class platform_sync
 {
 public:
+  /// aConfigurationBound: a change is in force within this time.
   platform_sync(scheduler& aScheduler,
                 platform_feed& aFeed,
                 platform_view& aView,
                 metrics& aMetrics,
                 sync_peers& aPeers,
-                duration aRevocationBound,
+                duration aConfigurationBound,
                 std::uint64_t aSeed);
 
   /// Runs until Stop().
@@ -76,6 +77,8 @@
   bool Watch(duration aWait, yield_context aYield);
   /// False when the store itself has to be asked.
   bool Follow(yield_context aYield);
+  /// One round; false when nobody could be asked.
+  bool Step(yield_context aYield);
   bool ApplyPassedOn(const changes_answer& aChanges);
   void Remember(std::uint64_t aFrom, const platform_changes& aChanges);
   void GrantLapseGrace();
@@ -93,6 +96,8 @@
   sync_peers& mPeers;
   random_source mRandom;
   duration mWatchWait;
+  duration mFollowInterval;
+  duration mBelievedAge;
   event mWoken;
   /// Changes of late, for those who ask.
   std::deque<changes_answer> mRecent;
--- a/modules/sync/registration.h
+++ b/modules/sync/registration.h
@@ -8,9 +8,7 @@
 class registration
 {
 public:
-  registration(scheduler& aScheduler,
-               platform_feed& aFeed,
-               fleet_member aSelf)
+  registration(scheduler& aScheduler, platform_feed& aFeed, fleet_member aSelf)
     : mScheduler(aScheduler)
     , mFeed(aFeed)
     , mSelf(std::move(aSelf))
