--- a/modules/placement/target_records.cpp
+++ b/modules/placement/target_records.cpp
@@ -43,6 +43,30 @@
 
 } // namespace
 
+const char*
+OutcomeName(exchange_outcome aOutcome)
+{
+  switch (aOutcome) {
+    case exchange_outcome::Served:
+      return "served";
+    case exchange_outcome::Failed:
+      return "failed";
+    case exchange_outcome::Broken:
+      return "broken";
+    case exchange_outcome::TimedOut:
+      return "timed_out";
+    case exchange_outcome::Shed:
+      return "shed";
+    case exchange_outcome::Unreachable:
+      return "unreachable";
+    case exchange_outcome::Misdirected:
+      return "misdirected";
+    case exchange_outcome::Abandoned:
+      return "abandoned";
+  }
+  return "unknown";
+}
+
 void
 target_records::Decay(record& aRecord, steady_time aNow)
 {
--- a/modules/placement/target_records.h
+++ b/modules/placement/target_records.h
@@ -23,6 +23,9 @@
   Abandoned,   ///< The caller left; says nothing about the target.
 };
 
+const char*
+OutcomeName(exchange_outcome aOutcome);
+
 enum class target_use
 {
   InUse,
--- a/modules/proxy/fleet_evidence.cpp
+++ b/modules/proxy/fleet_evidence.cpp
@@ -1,5 +1,7 @@
 #include "modules/proxy/fleet_evidence.h"
 
+#include "core/log.h"
+
 #include <algorithm>
 
 namespace cowslipline {
@@ -41,13 +43,15 @@
                                peer_link& aLink,
                                target_records& aEvidence,
                                target_chooser& aChooser,
-                               crash_guard& aCrashes)
+                               crash_guard& aCrashes,
+                               metrics& aMetrics)
   : mScheduler(aScheduler)
   , mMembers(aMembers)
   , mLink(aLink)
   , mEvidence(aEvidence)
   , mChooser(aChooser)
   , mCrashes(aCrashes)
+  , mMetrics(aMetrics)
 {
 }
 
@@ -68,10 +72,33 @@
   }
 }
 
+bool
+fleet_evidence::Observe(const std::string& aTarget,
+                        exchange_outcome aOutcome,
+                        const std::string& aSeenBy)
+{
+  const auto now = mScheduler.Now();
+  const bool wasInUse = mEvidence.UseOf(aTarget, now) == target_use::InUse;
+  const bool isNews = mEvidence.Observe(aTarget, aOutcome, now);
+  const bool isInUse = mEvidence.UseOf(aTarget, now) == target_use::InUse;
+  if (wasInUse != isInUse) {
+    mMetrics
+      .Counter(isInUse ? "cowslipline_targets_returned_total"
+                       : "cowslipline_targets_avoided_total")
+      .Add();
+    Log(log_level::Info,
+        isInUse ? "target_in_use" : "target_avoided",
+        { { "target", aTarget },
+          { "outcome", OutcomeName(aOutcome) },
+          { "seen_by", aSeenBy } });
+  }
+  return isNews;
+}
+
 void
 fleet_evidence::OnOutcome(const std::string& aTarget, exchange_outcome aOutcome)
 {
-  if (mEvidence.Observe(aTarget, aOutcome, mScheduler.Now())) {
+  if (Observe(aTarget, aOutcome, mMembers.Self().mName)) {
     // Load matters to the zone whose requests made it.
     const bool isToRelay = aOutcome != exchange_outcome::Shed;
     Spread(target_report{ aTarget, static_cast<std::uint8_t>(aOutcome), false },
@@ -84,19 +111,22 @@
                         const std::string& aTarget)
 {
   mCrashes.OnCrash(aRequest, aTarget, mScheduler.Now());
+  Log(log_level::Warn,
+      "target_went_down",
+      { { "target", aTarget }, { "fingerprint", std::to_string(aRequest) } });
   Spread(crash_report{ aRequest, aTarget, false }, true);
 }
 
 void
-fleet_evidence::OnReport(const target_report& aReport)
+fleet_evidence::OnReport(const std::string& aSender,
+                         const target_report& aReport)
 {
   if (aReport.mOutcome >
       static_cast<std::uint8_t>(exchange_outcome::Abandoned)) {
     return;
   }
-  mEvidence.Observe(aReport.mTarget,
-                    static_cast<exchange_outcome>(aReport.mOutcome),
-                    mScheduler.Now());
+  Observe(
+    aReport.mTarget, static_cast<exchange_outcome>(aReport.mOutcome), aSender);
   if (aReport.mIsToRelay) {
     Spread(aReport, false);
   }
--- a/modules/proxy/fleet_evidence.h
+++ b/modules/proxy/fleet_evidence.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/metrics.h"
 #include "modules/placement/placement.h"
 #include "modules/sharing/sharing.h"
 
@@ -17,14 +18,15 @@
                  peer_link& aLink,
                  target_records& aEvidence,
                  target_chooser& aChooser,
-                 crash_guard& aCrashes);
+                 crash_guard& aCrashes,
+                 metrics& aMetrics);
 
   /// An outcome of this instance.
   void OnOutcome(const std::string& aTarget, exchange_outcome aOutcome);
   void OnCrash(request_fingerprint aRequest, const std::string& aTarget);
 
   /// A message of another instance.
-  void OnReport(const target_report& aReport);
+  void OnReport(const std::string& aSender, const target_report& aReport);
   void OnReport(const crash_report& aReport);
   void OnReport(const std::string& aSender, const load_report& aReport);
 
@@ -37,6 +39,11 @@
   duration LoadInterval() const;
 
 private:
+  /// Counts the outcome and logs a change of the target's use. True when the
+  /// outcome is news for others.
+  bool Observe(const std::string& aTarget,
+               exchange_outcome aOutcome,
+               const std::string& aSeenBy);
   void Spread(peer_payload aPayload, bool aIsToRelay);
 
   scheduler& mScheduler;
@@ -45,6 +52,7 @@
   target_records& mEvidence;
   target_chooser& mChooser;
   crash_guard& mCrashes;
+  metrics& mMetrics;
   std::uint64_t mTurn = 0;
   load_report mLastLoad;
   /// What the last report listed and the present one lacks is sent as zero.
--- a/modules/proxy/proxy_instance.cpp
+++ b/modules/proxy/proxy_instance.cpp
@@ -2,6 +2,8 @@
 
 #include "core/log.h"
 
+#include <sstream>
+
 namespace cowslipline {
 
 namespace {
@@ -71,7 +73,13 @@
             *mLink,
             aSettings.mBounds.mOwners,
             mRandom.Next() >> 1)
-  , mReports(aScheduler, mView.mMembers, *mLink, mEvidence, mChooser, mCrashes)
+  , mReports(aScheduler,
+             mView.mMembers,
+             *mLink,
+             mEvidence,
+             mChooser,
+             mCrashes,
+             mMetrics)
   , mServices{ aScheduler, aScheduler.Context(),
                mSettings,  std::move(aNames),
                mView,      mEvidence,
@@ -139,7 +147,7 @@
 
     void operator()(const target_report& aReport) const
     {
-      mInstance.mReports.OnReport(aReport);
+      mInstance.mReports.OnReport(mMessage.mSender, aReport);
     }
     void operator()(const crash_report& aReport) const
     {
@@ -202,6 +210,39 @@
   }
 }
 
+std::string
+proxy_instance::RenderGauges() const
+{
+  const auto now = mScheduler.Now();
+  const auto age =
+    std::min<duration>(mView.mFreshness.Age(now), std::chrono::hours(24));
+  const std::vector<std::pair<const char*, double>> gauges = {
+    { "cowslipline_configuration_age_seconds",
+      std::chrono::duration<double>(age).count() },
+    { "cowslipline_configuration_version",
+      mView.mRoutes
+        ? static_cast<double>(mView.mRoutes->Configuration().mVersion)
+        : 0.0 },
+    { "cowslipline_ready", mServices.IsReady() ? 1.0 : 0.0 },
+    { "cowslipline_members", static_cast<double>(mView.mMembers.Count(now)) },
+    { "cowslipline_targets", static_cast<double>(mView.mTargets.All().size()) },
+    { "cowslipline_requests_in_flight",
+      static_cast<double>(mServices.mRequestsInFlight) },
+    { "cowslipline_caller_connections",
+      static_cast<double>(mListener.Connections()) },
+    { "cowslipline_upstream_connections_idle",
+      static_cast<double>(mPool.Size()) },
+    { "cowslipline_peer_bytes_sent", static_cast<double>(mLink->BytesSent()) },
+    { "cowslipline_peer_messages_dropped",
+      static_cast<double>(mLink->MessagesDropped()) },
+  };
+  std::ostringstream text;
+  for (const auto& [name, value] : gauges) {
+    text << "# TYPE " << name << " gauge\n" << name << ' ' << value << '\n';
+  }
+  return text.str();
+}
+
 page
 proxy_instance::RenderPage(std::string_view aPath)
 {
@@ -210,7 +251,7 @@
                                : page{ 503, "not ready\n" };
   }
   if (aPath == "/metrics") {
-    return { 200, mMetrics.RenderText() };
+    return { 200, mMetrics.RenderText() + RenderGauges() };
   }
   return { 404, "not found\n" };
 }
--- a/modules/proxy/proxy_instance.h
+++ b/modules/proxy/proxy_instance.h
@@ -47,6 +47,7 @@
   void RunHousekeeping(yield_context aYield);
   void RunLoadReports(yield_context aYield);
   page RenderPage(std::string_view aPath);
+  std::string RenderGauges() const;
 
   scheduler& mScheduler;
   proxy_settings mSettings;
--- a/modules/proxy/zone_sync_peers.cpp
+++ b/modules/proxy/zone_sync_peers.cpp
@@ -1,5 +1,7 @@
 #include "modules/proxy/zone_sync_peers.h"
 
+#include "core/log.h"
+
 namespace cowslipline {
 
 namespace {
@@ -40,6 +42,7 @@
     }
   }
   mMembers.OnNoReply(reader.mName, mScheduler.Now());
+  Log(log_level::Warn, "reader_no_reply", { { "peer", reader.mName } });
   return std::nullopt;
 }
 
--- a/modules/sharing/owner_client.cpp
+++ b/modules/sharing/owner_client.cpp
@@ -1,5 +1,7 @@
 #include "modules/sharing/owner_client.h"
 
+#include "core/log.h"
+
 namespace cowslipline {
 
 namespace {
@@ -62,6 +64,15 @@
   return question->mDecision;
 }
 
+void
+owner_client::PassOver(const fleet_member& aOwner, const std::string& aItem)
+{
+  mMembers.OnNoReply(aOwner.mName, mScheduler.Now());
+  Log(log_level::Warn,
+      "owner_no_reply",
+      { { "peer", aOwner.mName }, { "item", aItem } });
+}
+
 quota_admission
 owner_client::Admit(const std::string& aOrganisation,
                     const quota_limit& aLimit,
@@ -91,7 +102,7 @@
     if (decision) {
       return { *decision, source };
     }
-    mMembers.OnNoReply(owner.mName, mScheduler.Now());
+    PassOver(owner, aOrganisation);
   }
   const double part =
     kLocalPart / static_cast<double>(mMembers.Count(mScheduler.Now()));
@@ -112,7 +123,7 @@
   const auto decision =
     Ask(retry_question{ 0, aService, requests }, owners[0], kFirstWait, aYield);
   if (!decision) {
-    mMembers.OnNoReply(owners[0].mName, mScheduler.Now());
+    PassOver(owners[0], aService);
     return false;
   }
   return decision->mIsAdmitted;
--- a/modules/sharing/owner_client.h
+++ b/modules/sharing/owner_client.h
@@ -79,6 +79,9 @@
   /// while a reply is awaited.
   std::vector<fleet_member> OwnersOf(const std::string& aItem) const;
 
+  /// The owner did not reply: it is passed over for a while.
+  void PassOver(const fleet_member& aOwner, const std::string& aItem);
+
   template<typename Question>
   std::optional<quota_decision> Ask(Question aQuestion,
                                     const fleet_member& aOwner,
--- a/modules/sync/platform_sync.cpp
+++ b/modules/sync/platform_sync.cpp
@@ -361,11 +361,16 @@
     void operator()(const member_changed& aChange) const
     {
       mSync.mView.mMembers.Put(aChange.mMember);
+      Log(log_level::Info,
+          "member_joined",
+          { { "peer", aChange.mMember.mName },
+            { "zone", aChange.mMember.mAvailabilityZone } });
       mMembers.push_back(aChange.mMember.mName);
     }
     void operator()(const member_removed& aChange) const
     {
       mSync.mView.mMembers.Remove(aChange.mName, mSync.mScheduler.Now());
+      Log(log_level::Info, "member_left", { { "peer", aChange.mName } });
     }
     void operator()(const entry_unreadable& aChange) const
     {
