Retry budget: only recent requests pay for repeats

Instances that had not asked for long reported the requests of half a minute at once. Ruled out: sends that are not counted; each was granted by the owner. The new test fails with reports of any age.

--- a/modules/placement/retry_accounts.h
+++ b/modules/placement/retry_accounts.h
@@ -3,6 +3,7 @@
 #include "core/time.h"
 
 #include <cstdint>
+#include <deque>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -18,6 +19,26 @@
   duration mWindow = std::chrono::seconds(10);
 };
 
+/// Counts an instance's requests that its next question to the owner of a
+/// budget reports. Older ones have lapsed: the bound knows only the requests of
+/// about one window.
+class recent_requests
+{
+public:
+  explicit recent_requests(const retry_limit& aLimit)
+    : mValidity(aLimit.mWindow / 4)
+  {
+  }
+
+  void Add(std::string_view aService, steady_time aNow);
+  /// The requests that were not reported yet.
+  std::uint32_t Take(std::string_view aService, steady_time aNow);
+
+private:
+  duration mValidity;
+  std::unordered_map<std::string, std::deque<steady_time>> mRequests;
+};
+
 /// Accounts of the services that this instance owns. Answers the load of a
 /// fault that makes most first sends fail: without a bound, repeats would
 /// double it. Instances ask the owner for each repeat and report with it how
--- a/modules/sharing/owner_client.cpp
+++ b/modules/sharing/owner_client.cpp
@@ -32,6 +32,7 @@
   , mQuotas(aLimits.mQuotas)
   , mLocalShares(aLimits.mQuotas)
   , mRetries(aLimits.mRetries, aScheduler.Now())
+  , mRequests(aLimits.mRetries)
   , mNextId(aSeed)
 {
 }
@@ -114,7 +115,7 @@
 bool
 owner_client::TakeRetry(const std::string& aService, yield_context aYield)
 {
-  const auto requests = std::exchange(mRequests[aService], 0);
+  const auto requests = mRequests.Take(aService, mScheduler.Now());
   const auto owners = OwnersOf("retries of " + aService);
   if (owners[0].mName == mMembers.Self().mName) {
     return mRetries.Take(
--- a/modules/sharing/owner_client.h
+++ b/modules/sharing/owner_client.h
@@ -52,7 +52,10 @@
                         yield_context aYield);
 
   /// Counts a request towards the budget of its service.
-  void OnRequest(const std::string& aService) { ++mRequests[aService]; }
+  void OnRequest(const std::string& aService)
+  {
+    mRequests.Add(aService, mScheduler.Now());
+  }
 
   /// Takes one repeated send; false when there is none left or no owner
   /// replies.
@@ -95,7 +98,7 @@
   /// Used while no owner replies: an equal part of each rate.
   quota_buckets mLocalShares;
   retry_accounts mRetries;
-  std::unordered_map<std::string, std::uint32_t> mRequests;
+  recent_requests mRequests;
   std::uint64_t mNextId;
   std::unordered_map<std::uint64_t, std::shared_ptr<pending_question>> mPending;
 };
--- a/tests/placement/test_placement.cpp
+++ b/tests/placement/test_placement.cpp
@@ -247,6 +247,35 @@
   }
 }
 
+// Guards against requests of a long calm time that pay for a storm of repeats:
+// the instances have not asked for any meanwhile.
+TEST(retry_accounts, RequestsOfACalmTimeDoNotPayForAStorm)
+{
+  const retry_limit limit{ 0.2, 60, 10s };
+  constexpr int kInstances = 40;
+  retry_accounts budget(limit, kStart);
+  std::vector<recent_requests> instances(kInstances, recent_requests(limit));
+  random_source random(4);
+  std::vector<steady_time> granted;
+  auto now = kStart;
+  const auto storm = kStart + 30s;
+  while (now < storm + 10s) {
+    now += 20ms;
+    auto& instance = instances[random.Below(kInstances)];
+    instance.Add("catalogue", now);
+    if (now >= storm) {
+      for (int i = 0; i < 2; ++i) {
+        auto& asking = instances[random.Below(kInstances)];
+        if (budget.Take("catalogue", asking.Take("catalogue", now), 1, now)) {
+          granted.push_back(now);
+        }
+      }
+    }
+  }
+  // 500 requests in the window of the storm.
+  CHECK(granted.size() <= 160);
+}
+
 TEST_GROUP(crash_guard){};
 
 // Guards against one request that takes a service down target by target.
