--- a/core/log.cpp
+++ b/core/log.cpp
@@ -1,8 +1,13 @@
 #include "core/log.h"
 
 #include <chrono>
+#include <climits>
 #include <mutex>
 #include <optional>
+#include <sstream>
+
+#include <poll.h>
+#include <unistd.h>
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
@@ -66,6 +71,42 @@
   return "error";
 }
 
+/// Writes to standard output and never waits for its reader: a line that finds
+/// no room is dropped and counted.
+class output_appender final : public log4cplus::Appender
+{
+public:
+  explicit output_appender(std::uint64_t& aDropped)
+    : mDropped(aDropped)
+  {
+  }
+  ~output_appender() override { destructorImpl(); }
+
+  void close() override { closed = true; }
+
+protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& aEvent) override
+  {
+    std::ostringstream text;
+    layout->formatAndAppend(text, aEvent);
+    const auto line = text.str();
+    // A pipe that can be written takes PIPE_BUF bytes without waiting.
+    pollfd writable{ STDOUT_FILENO, POLLOUT, 0 };
+    const bool hasRoom = line.size() <= PIPE_BUF &&
+                         ::poll(&writable, 1, 0) == 1 &&
+                         (writable.revents & POLLOUT) != 0;
+    const bool isWritten =
+      hasRoom && ::write(STDOUT_FILENO, line.data(), line.size()) ==
+                   static_cast<ssize_t>(line.size());
+    if (!isWritten) {
+      ++mDropped;
+    }
+  }
+
+private:
+  std::uint64_t& mDropped;
+};
+
 /// True when the line may be written; counts it as dropped otherwise.
 bool
 TakeLine(log_state& aState, std::uint64_t& aDropped)
@@ -92,8 +133,12 @@
 {
   auto& state = State();
   const std::lock_guard<std::mutex> lock(state.mMutex);
-  log4cplus::SharedAppenderPtr appender(
-    new log4cplus::ConsoleAppender(aStream == log_stream::Error, true));
+  log4cplus::SharedAppenderPtr appender;
+  if (aStream == log_stream::Output) {
+    appender = new output_appender(state.mDropped);
+  } else {
+    appender = new log4cplus::ConsoleAppender(true, true);
+  }
   appender->setLayout(
     std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_TEXT("%m%n")));
   auto logger = log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("cowslipline"));
--- a/core/log.h
+++ b/core/log.h
@@ -24,7 +24,9 @@
 };
 
 /// Sends log lines to standard error, or to standard output, from the given
-/// level on. Without this call nothing is written, so tests stay quiet.
+/// level on. Standard output is never waited for: lines that find no room are
+/// dropped and counted. Without this call nothing is written, so tests stay
+/// quiet.
 void
 ConfigureLog(log_level aLevel,
              std::string_view aInstance,
