--- a/modules/proxy/caller_session.cpp
+++ b/modules/proxy/caller_session.cpp
@@ -17,9 +17,6 @@
 // The stack of a connection's task; requests are decided on it.
 constexpr std::size_t kSessionStackBytes = 96UL * 1024;
 
-// Connections that the kernel holds until they are accepted.
-constexpr int kBacklog = 1024;
-
 // A caller that has just opened a connection sends its request at once.
 constexpr duration kFirstRequestTimeout = 10s;
 
@@ -229,65 +226,25 @@
 
 caller_listener::caller_listener(proxy_services& aServices)
   : mServices(aServices)
-  , mAcceptor(aServices.mContext)
+  , mListener(aServices.mContext, [this](asio::ip::tcp::socket aSocket) {
+    Serve(std::move(aSocket));
+  })
 {
 }
 
-result<void>
-caller_listener::Open(const tcp_endpoint& aAddress)
-{
-  asio::error_code error;
-  mAcceptor.open(aAddress.protocol(), error);
-  if (!error) {
-    mAcceptor.set_option(asio::socket_base::reuse_address(true), error);
-    mAcceptor.bind(aAddress, error);
-  }
-  if (!error) {
-    mAcceptor.listen(kBacklog, error);
-  }
-  if (error) {
-    return Fail(error);
-  }
-  Accept();
-  return {};
-}
-
-tcp_endpoint
-caller_listener::LocalAddress() const
-{
-  asio::error_code ignored;
-  return mAcceptor.local_endpoint(ignored);
-}
-
 void
-caller_listener::Accept()
+caller_listener::Serve(asio::ip::tcp::socket aSocket)
 {
-  mAcceptor.async_accept(
-    [this](const asio::error_code& aError, asio::ip::tcp::socket aSocket) {
-      if (aError == asio::error::operation_aborted || !mAcceptor.is_open()) {
-        return;
-      }
-      if (!aError) {
-        const auto session =
-          std::make_shared<caller_session>(mServices, std::move(aSocket));
-        const auto place = mSessions.insert(mSessions.end(), session);
-        asio::spawn(
-          mServices.mContext,
-          [this, session, place](yield_context aYield) {
-            session->Run(aYield);
-            mSessions.erase(place);
-          },
-          boost::coroutines::attributes(kSessionStackBytes));
-      }
-      Accept();
-    });
-}
-
-void
-caller_listener::StopAccepting()
-{
-  asio::error_code ignored;
-  mAcceptor.close(ignored);
+  const auto session =
+    std::make_shared<caller_session>(mServices, std::move(aSocket));
+  const auto place = mSessions.insert(mSessions.end(), session);
+  asio::spawn(
+    mServices.mContext,
+    [this, session, place](yield_context aYield) {
+      session->Run(aYield);
+      mSessions.erase(place);
+    },
+    boost::coroutines::attributes(kSessionStackBytes));
 }
 
 void
--- a/modules/proxy/caller_session.h
+++ b/modules/proxy/caller_session.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/tcp_listener.h"
 #include "modules/proxy/request_handler.h"
 
 #include <list>
@@ -51,17 +52,20 @@
   explicit caller_listener(proxy_services& aServices);
 
   /// Errors: those of bind() and listen().
-  result<void> Open(const tcp_endpoint& aAddress);
-  tcp_endpoint LocalAddress() const;
-  void StopAccepting();
+  result<void> Open(const tcp_endpoint& aAddress)
+  {
+    return mListener.Open(aAddress);
+  }
+  tcp_endpoint LocalAddress() const { return mListener.LocalAddress(); }
+  void StopAccepting() { mListener.Close(); }
   void CloseIdle();
   std::size_t Connections() const { return mSessions.size(); }
 
 private:
-  void Accept();
+  void Serve(asio::ip::tcp::socket aSocket);
 
   proxy_services& mServices;
-  asio::ip::tcp::acceptor mAcceptor;
+  tcp_listener mListener;
   std::list<std::weak_ptr<caller_session>> mSessions;
 };
 
--- a/modules/proxy/page_server.cpp
+++ b/modules/proxy/page_server.cpp
@@ -15,58 +15,12 @@
 page_server::page_server(asio::io_context& aContext, renderer aRenderer)
   : mContext(aContext)
   , mRenderer(std::move(aRenderer))
-  , mAcceptor(aContext)
+  , mListener(aContext, [this](asio::ip::tcp::socket aSocket) {
+    Serve(std::move(aSocket));
+  })
 {
 }
 
-result<void>
-page_server::Open(const tcp_endpoint& aAddress)
-{
-  asio::error_code error;
-  mAcceptor.open(aAddress.protocol(), error);
-  if (!error) {
-    mAcceptor.set_option(asio::socket_base::reuse_address(true), error);
-    mAcceptor.bind(aAddress, error);
-  }
-  if (!error) {
-    mAcceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return Fail(error);
-  }
-  Accept();
-  return {};
-}
-
-tcp_endpoint
-page_server::LocalAddress() const
-{
-  asio::error_code ignored;
-  return mAcceptor.local_endpoint(ignored);
-}
-
-void
-page_server::Close()
-{
-  asio::error_code ignored;
-  mAcceptor.close(ignored);
-}
-
-void
-page_server::Accept()
-{
-  mAcceptor.async_accept(
-    [this](const asio::error_code& aError, asio::ip::tcp::socket aSocket) {
-      if (aError == asio::error::operation_aborted || !mAcceptor.is_open()) {
-        return;
-      }
-      if (!aError) {
-        Serve(std::move(aSocket));
-      }
-      Accept();
-    });
-}
-
 void
 page_server::Serve(asio::ip::tcp::socket aSocket)
 {
--- a/modules/proxy/page_server.h
+++ b/modules/proxy/page_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/http_message.h"
+#include "core/tcp_listener.h"
 
 #include <functional>
 
@@ -22,17 +23,19 @@
   page_server(asio::io_context& aContext, renderer aRenderer);
 
   /// Errors: those of bind() and listen().
-  result<void> Open(const tcp_endpoint& aAddress);
-  tcp_endpoint LocalAddress() const;
-  void Close();
+  result<void> Open(const tcp_endpoint& aAddress)
+  {
+    return mListener.Open(aAddress);
+  }
+  tcp_endpoint LocalAddress() const { return mListener.LocalAddress(); }
+  void Close() { mListener.Close(); }
 
 private:
-  void Accept();
   void Serve(asio::ip::tcp::socket aSocket);
 
   asio::io_context& mContext;
   renderer mRenderer;
-  asio::ip::tcp::acceptor mAcceptor;
+  tcp_listener mListener;
 };
 
 } // namespace cowslipline
