--- a/modules/sync/platform_sync.cpp
+++ b/modules/sync/platform_sync.cpp
@@ -336,6 +336,7 @@
     platform_sync& mSync;
     std::vector<std::string>& mTargets;
     std::vector<std::string>& mMembers;
+    bool mIsWhole;
 
     void operator()(const configuration_changed& aChange) const
     {
@@ -346,6 +347,10 @@
       mSync.mLapsed.erase(aChange.mEntry.mId);
       mSync.mView.mTargets.Put(aChange.mEntry);
       mTargets.push_back(aChange.mEntry.mId);
+      // One line for each of thousands of targets would displace all others.
+      if (mIsWhole) {
+        return;
+      }
       Log(log_level::Info,
           "target_changed",
           { { "target", aChange.mEntry.mId },
@@ -361,6 +366,9 @@
     void operator()(const member_changed& aChange) const
     {
       mSync.mView.mMembers.Put(aChange.mMember);
+      if (mIsWhole) {
+        return;
+      }
       Log(log_level::Info,
           "member_joined",
           { { "peer", aChange.mMember.mName },
@@ -380,11 +388,16 @@
     }
   };
   for (const auto& event : aChanges.mEvents) {
-    std::visit(visitor{ *this, targets, members }, event);
+    std::visit(visitor{ *this, targets, members, aIsWhole }, event);
   }
   if (!aIsWhole) {
     return;
   }
+  Log(log_level::Info,
+      "store_read",
+      { { "revision", std::to_string(mRevision) },
+        { "targets", std::to_string(targets.size()) },
+        { "members", std::to_string(members.size()) } });
   std::vector<std::string> missing;
   for (const auto& [id, entry] : mView.mTargets.All()) {
     if (std::find(targets.begin(), targets.end(), id) == targets.end()) {
