--- a/modules/sharing/member_table.cpp
+++ b/modules/sharing/member_table.cpp
@@ -168,6 +168,7 @@
     }
   }
   std::vector<const fleet_member*> relays;
+  relays.reserve(zones.size());
   for (const auto& [zone, members] : zones) {
     relays.push_back(members[aTurn % members.size()]);
   }
--- a/tests/placement/test_placement.cpp
+++ b/tests/placement/test_placement.cpp
@@ -164,6 +164,7 @@
     random_source random(7);
     std::vector<target_records> evidence(kInstances);
     std::vector<target_chooser> choosers;
+    choosers.reserve(kInstances);
     for (int i = 0; i < kInstances; ++i) {
       choosers.emplace_back("a", 0.7, random.Next());
     }
@@ -171,6 +172,7 @@
     const std::vector<std::string> names = {
       "t0", "t1", "t2", "t3", "t4", "t5"
     };
+    candidates.reserve(names.size());
     for (const auto& name : names) {
       candidates.push_back({ name, "a", 6, false });
     }
--- a/tests/proxy/test_requests_through_the_edge.cpp
+++ b/tests/proxy/test_requests_through_the_edge.cpp
@@ -112,7 +112,9 @@
     { "a promise that the target does not make",
       "HTTP/1.1 503 Busy\r\nRequest: r1\r\nContent-Length: 0\r\n\r\n" },
   };
-  for (const auto& [name, text] : unusable) {
+  for (const auto& answer : unusable) {
+    const auto* name = answer.first;
+    const auto& text = answer.second;
     edge_fixture fixture;
     auto& workshop = fixture.AddTarget("w1", "workshop", Sending(text));
     auto& second = fixture.AddTarget("w2", "workshop", Sending(text));
