--- a/modules/gateway/buffered_reader.h
+++ b/modules/gateway/buffered_reader.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "modules/gateway/body_buffer.h"
 #include "core/http_head.h"
+#include "modules/gateway/body_buffer.h"
 #include "modules/gateway/timed_socket.h"
 
 #include <optional>
--- a/modules/gateway/caller_exchange.h
+++ b/modules/gateway/caller_exchange.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "modules/gateway/buffered_reader.h"
 #include "core/http_head.h"
+#include "modules/gateway/buffered_reader.h"
 
 namespace cowslipline {
 
