Sync: keep the members of a whole read; name who decided on a quota

The change that shortened the log of a whole read left its members out, so members that were not heard lately were dropped and three instances took themselves for the owner of one organisation. Ruled out: slow owners (no owner_no_reply in the window), the window itself (the owner alone admitted 78 a second of 74 and the burst). The extended test fails without the change.

--- a/modules/proxy/request_handler.cpp
+++ b/modules/proxy/request_handler.cpp
@@ -246,6 +246,7 @@
                             { mOrganisation->mRate, mOrganisation->mBurst },
                             aYield);
   mQuotaSource = SourceName(admission.mSource);
+  mQuotaDecidedBy = admission.mDecidedBy;
   if (!admission.mDecision.mIsAdmitted) {
     return Refuse(
       429,
@@ -587,6 +588,7 @@
       { "service", mService },
       { "attempts", attempts },
       { "quota", mQuotaSource },
+      { "quota_by", mQuotaDecidedBy },
       { "took_ms", Milliseconds(now - mReceivedAt) },
       { "left_ms", Milliseconds(mDeadline - now) },
       { "version",
--- a/modules/proxy/request_handler.h
+++ b/modules/proxy/request_handler.h
@@ -118,6 +118,7 @@
   /// A target's own failure, handed on when no repeat succeeds.
   std::optional<http_response> mTargetFailure;
   const char* mQuotaSource = "none";
+  std::string mQuotaDecidedBy;
 };
 
 } // namespace cowslipline
--- a/modules/sharing/owner_client.cpp
+++ b/modules/sharing/owner_client.cpp
@@ -80,7 +80,7 @@
                     yield_context aYield)
 {
   if (aLimit.mRate <= 0) {
-    return { { true, duration(0) }, quota_source::Unlimited };
+    return { { true, duration(0) }, quota_source::Unlimited, {} };
   }
   const auto owners = OwnersOf(aOrganisation);
   const auto& self = mMembers.Self().mName;
@@ -101,7 +101,7 @@
       }
     }
     if (decision) {
-      return { *decision, source };
+      return { *decision, source, owner.mName };
     }
     PassOver(owner, aOrganisation);
   }
@@ -109,7 +109,8 @@
     kLocalPart / static_cast<double>(mMembers.Count(mScheduler.Now()));
   return { mLocalShares.Admit(
              aOrganisation, { aLimit.mRate * part, 0 }, 0, mScheduler.Now()),
-           quota_source::LocalShare };
+           quota_source::LocalShare,
+           self };
 }
 
 bool
--- a/modules/sharing/owner_client.h
+++ b/modules/sharing/owner_client.h
@@ -26,6 +26,7 @@
 {
   quota_decision mDecision;
   quota_source mSource = quota_source::Unlimited;
+  std::string mDecidedBy{}; ///< Instance, empty when nobody had to decide.
 };
 
 struct owner_limits
--- a/modules/sync/platform_sync.cpp
+++ b/modules/sync/platform_sync.cpp
@@ -366,6 +366,7 @@
     void operator()(const member_changed& aChange) const
     {
       mSync.mView.mMembers.Put(aChange.mMember);
+      mMembers.push_back(aChange.mMember.mName);
       if (mIsWhole) {
         return;
       }
@@ -373,7 +374,6 @@
           "member_joined",
           { { "peer", aChange.mMember.mName },
             { "zone", aChange.mMember.mAvailabilityZone } });
-      mMembers.push_back(aChange.mMember.mName);
     }
     void operator()(const member_removed& aChange) const
     {
--- a/tests/sync/test_platform_sync.cpp
+++ b/tests/sync/test_platform_sync.cpp
@@ -211,7 +211,15 @@
   fixture.mFeed.ForgetHistory();
   fixture.mFeed.PutTarget(Target("t3"));
   fixture.mFeed.ForgetHistory();
+  fixture.mClock.Spawn([&](yield_context aYield) {
+    const fleet_member peer{ "i2", "a", Self().mAddress };
+    CHECK(fixture.mFeed.Register(peer, 1, aYield).has_value());
+  });
   fixture.mClock.Advance(2s);
+  fixture.mFeed.ForgetHistory();
+  fixture.mClock.Advance(10s);
+  // The peer is registered and was not heard for long.
+  LONGS_EQUAL(2, fixture.mView.mMembers.Count(fixture.mClock.Now()));
   CHECK(fixture.mView.mTargets.Find("t2") == nullptr);
   CHECK(fixture.mView.mTargets.Find("t3") != nullptr);
 }
