--- a/modules/placement/target_records.h
+++ b/modules/placement/target_records.h
@@ -41,7 +41,8 @@
 {
 public:
   /// An outcome of this instance, or one that another instance reports.
-  /// True when it changes the use of the target, so that others are told.
+  /// True when other instances should be told: it changes the use of the
+  /// target, or adds to failures that all of them count.
   bool Observe(std::string_view aTarget,
                exchange_outcome aOutcome,
                steady_time aNow);
--- a/modules/proxy/fleet_evidence.h
+++ b/modules/proxy/fleet_evidence.h
@@ -53,9 +53,9 @@
   target_chooser& mChooser;
   crash_guard& mCrashes;
   metrics& mMetrics;
-  std::uint64_t mTurn = 0;
+  std::uint64_t mTurn = 0; ///< Spreads the relays over the other zones.
+  /// What it lists and the next report lacks is sent as zero.
   load_report mLastLoad;
-  /// What the last report listed and the present one lacks is sent as zero.
   steady_time mLoadToldAt;
 };
 
--- a/modules/sharing/owner_client.h
+++ b/modules/sharing/owner_client.h
@@ -70,6 +70,7 @@
   void OnQuestion(const retry_question& aQuestion, const udp_endpoint& aFrom);
   void OnAnswer(const owner_answer& aAnswer);
 
+  /// Forgets organisations that were not asked for lately.
   void Prune();
 
 private:
