--- a/modules/proxy/request_handler.h
+++ b/modules/proxy/request_handler.h
@@ -2,39 +2,11 @@
 
 #include "core/http_message.h"
 #include "modules/proxy/proxy_services.h"
+#include "modules/proxy/refusal_cause.h"
 #include "modules/proxy/target_exchange.h"
 
 namespace cowslipline {
 
-/// Why an answer is this instance's own and not a target's. Each has a counter
-/// and a name in the log.
-enum class refusal_cause
-{
-  None,
-  NoConfiguration,
-  NoRoute,
-  KeyMissing,
-  KeyUnknown,
-  ConfigurationStale,
-  OverQuota,
-  NoTarget,
-  TargetsFull,
-  AttemptsUsed,
-  RetryBudgetSpent,
-  CrashesTargets,
-  OutcomeUnknown,
-  DeadlinePassed,
-  Leaving,
-  Malformed,
-  TooLarge,
-  OverMemory,
-  CallerSlow,
-  CallerGone,
-};
-
-const char*
-CauseName(refusal_cause aCause);
-
 struct proxy_answer
 {
   int mStatus = 0;
