Sync: a lapsed registration is gone for every instance at once

Ruled out: the order of answers (followers and readers saw the same revision), and the bucket of a new owner, which began empty.

Change: lapsed_entries holds missing entries only when a third of them are missing at once. Members and targets follow the same rule. An instance that learns of its own lapsed registration asks the owner that the others ask. A whole read of many targets is no longer quadratic.

--- a/modules/proxy/proxy_instance.cpp
+++ b/modules/proxy/proxy_instance.cpp
@@ -138,7 +138,7 @@
 proxy_instance::OnPeerMessage(const peer_message& aMessage,
                               const udp_endpoint& aFrom)
 {
-  mView.mMembers.OnHeard(aMessage.mSender, mScheduler.Now());
+  mView.mMembers.OnHeard(aMessage.mSender);
   struct visitor
   {
     proxy_instance& mInstance;
--- a/modules/routing/target_directory.cpp
+++ b/modules/routing/target_directory.cpp
@@ -1,7 +1,5 @@
 #include "modules/routing/target_directory.h"
 
-#include <algorithm>
-
 namespace cowslipline {
 
 void
@@ -28,20 +26,6 @@
   mEntries.erase(found);
 }
 
-void
-target_directory::Retain(const std::vector<std::string>& aIds)
-{
-  std::vector<std::string> gone;
-  for (const auto& [id, entry] : mEntries) {
-    if (std::find(aIds.begin(), aIds.end(), id) == aIds.end()) {
-      gone.push_back(id);
-    }
-  }
-  for (const auto& id : gone) {
-    Remove(id);
-  }
-}
-
 const target_entry*
 target_directory::Find(std::string_view aId) const
 {
--- a/modules/routing/target_directory.h
+++ b/modules/routing/target_directory.h
@@ -35,8 +35,6 @@
   /// Sets or replaces the entry of an id.
   void Put(target_entry aEntry);
   void Remove(std::string_view aId);
-  /// Keeps only the entries whose ids are in the list.
-  void Retain(const std::vector<std::string>& aIds);
 
   const target_entry* Find(std::string_view aId) const;
   /// Ready targets of a service, in the order of their ids.
--- a/modules/sharing/member_table.cpp
+++ b/modules/sharing/member_table.cpp
@@ -10,10 +10,6 @@
 
 using namespace std::chrono_literals;
 
-// A member without a registration that was heard within this time is alive:
-// registrations lapse while the store is away.
-constexpr duration kHeardValidity = 3s;
-
 // A member that does not reply may be frozen or cut off; asking it again costs
 // each request that waits for it a tenth of a second.
 constexpr duration kPassedOverTime = 1s;
@@ -29,49 +25,47 @@
 member_table::Put(const fleet_member& aMember)
 {
   if (aMember.mName == mSelf.mName) {
+    mEpoch += mIsSelfRegistered ? 0 : 1;
+    mIsSelfRegistered = true;
     return;
   }
-  auto& state = mMembers[aMember.mName];
-  state.mMember = aMember;
-  state.mIsRegistered = true;
-  state.mPassedOverUntil = steady_time();
   ++mEpoch;
+  mMembers[aMember.mName] = { aMember, steady_time() };
 }
 
 void
-member_table::Remove(std::string_view aName, steady_time aNow)
+member_table::Remove(std::string_view aName)
 {
   const auto found = mMembers.find(aName);
-  if (found == mMembers.end()) {
-    return;
-  }
-  ++mEpoch;
-  found->second.mIsRegistered = false;
-  if (!IsInUse(found->second, aNow)) {
+  if (found != mMembers.end()) {
     mMembers.erase(found);
+    ++mEpoch;
+  }
+  if (aName == mSelf.mName) {
+    mEpoch += mIsSelfRegistered ? 1 : 0;
+    mIsSelfRegistered = false;
   }
 }
 
-void
-member_table::Retain(const std::vector<std::string>& aNames, steady_time aNow)
+std::vector<std::string>
+member_table::Registered() const
 {
-  std::vector<std::string> gone;
+  std::vector<std::string> names;
+  names.reserve(mMembers.size() + 1);
   for (const auto& [name, state] : mMembers) {
-    if (std::find(aNames.begin(), aNames.end(), name) == aNames.end()) {
-      gone.push_back(name);
-    }
+    names.push_back(name);
   }
-  for (const auto& name : gone) {
-    Remove(name, aNow);
+  if (mIsSelfRegistered) {
+    names.push_back(mSelf.mName);
   }
+  return names;
 }
 
 void
-member_table::OnHeard(std::string_view aName, steady_time aNow)
+member_table::OnHeard(std::string_view aName)
 {
   const auto found = mMembers.find(aName);
   if (found != mMembers.end()) {
-    found->second.mHeardAt = aNow;
     found->second.mPassedOverUntil = steady_time();
   }
 }
@@ -86,11 +80,9 @@
 }
 
 bool
-member_table::IsInUse(const member_state& aState, steady_time aNow) const
+member_table::IsInUse(const member_state& aState, steady_time aNow)
 {
-  const bool isHeard =
-    aState.mHeardAt != steady_time() && aNow - aState.mHeardAt < kHeardValidity;
-  return (aState.mIsRegistered || isHeard) && aNow >= aState.mPassedOverUntil;
+  return aNow >= aState.mPassedOverUntil;
 }
 
 std::size_t
@@ -109,12 +101,14 @@
 {
   const auto item = Hash64(aItem);
   std::vector<std::pair<std::uint64_t, const fleet_member*>> weighted;
-  weighted.emplace_back(RendezvousWeight(mSelf.mName, item), &mSelf);
   for (const auto& [name, state] : mMembers) {
     if (IsInUse(state, aNow)) {
       weighted.emplace_back(RendezvousWeight(name, item), &state.mMember);
     }
   }
+  if (mIsSelfRegistered || weighted.empty()) {
+    weighted.emplace_back(RendezvousWeight(mSelf.mName, item), &mSelf);
+  }
   const auto count = std::min(aCount, weighted.size());
   std::partial_sort(
     weighted.begin(),
--- a/modules/sharing/member_table.h
+++ b/modules/sharing/member_table.h
@@ -22,9 +22,10 @@
   udp_endpoint mAddress; ///< Receives peer messages.
 };
 
-/// The instances of the fleet. Registrations come from the platform's store;
-/// when the store is away they may lapse, so a member that is still heard
-/// stays, and one that does not reply is passed over for a while.
+/// The instances of the fleet as their registrations name them, and those that
+/// are passed over for a while because they do not reply. What an instance
+/// hears does not keep a member whose registration is gone: those that hear it
+/// and those that do not would name different owners.
 class member_table
 {
 public:
@@ -34,17 +35,21 @@
 
   void Put(const fleet_member& aMember);
   /// The registration is gone.
-  void Remove(std::string_view aName, steady_time aNow);
-  void Retain(const std::vector<std::string>& aNames, steady_time aNow);
+  void Remove(std::string_view aName);
 
-  void OnHeard(std::string_view aName, steady_time aNow);
+  /// The registrations that are known, this instance's among them.
+  std::vector<std::string> Registered() const;
+
+  void OnHeard(std::string_view aName);
   void OnNoReply(std::string_view aName, steady_time aNow);
 
   /// Members in use, this instance included.
   std::size_t Count(steady_time aNow) const;
 
   /// Members in use in the order in which they own the item: the second one
-  /// replaces the first while that does not reply.
+  /// replaces the first while that does not reply. This instance is among them
+  /// while it is registered, or alone: without a registration the others do not
+  /// count on it.
   std::vector<const fleet_member*> OwnersOf(std::string_view aItem,
                                             std::size_t aCount,
                                             steady_time aNow) const;
@@ -68,14 +73,13 @@
   struct member_state
   {
     fleet_member mMember;
-    bool mIsRegistered = true;
-    steady_time mHeardAt;
     steady_time mPassedOverUntil;
   };
 
-  bool IsInUse(const member_state& aState, steady_time aNow) const;
+  static bool IsInUse(const member_state& aState, steady_time aNow);
 
   fleet_member mSelf;
+  bool mIsSelfRegistered = false;
   std::map<std::string, member_state, std::less<>> mMembers;
   std::uint64_t mEpoch = 1;
 };
--- a/modules/sync/platform_sync.cpp
+++ b/modules/sync/platform_sync.cpp
@@ -27,7 +27,8 @@
 // so that the fleet does not come back in step.
 constexpr duration kRetryWait = 300ms;
 
-// Entries that lapsed during an outage are back within two seconds of its end.
+// Entries that lapsed during an outage are back within two seconds of its end,
+// as the operators of the platform state.
 constexpr duration kLapseGrace = 2s;
 
 // An outage of this length may make entries lapse.
@@ -52,6 +53,13 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
 }
 
+/// What a series of changes leaves out or takes away.
+struct entry_changes
+{
+  std::set<std::string> mMissingTargets;
+  std::set<std::string> mMissingMembers;
+};
+
 } // namespace
 
 platform_sync::platform_sync(scheduler& aScheduler,
@@ -78,7 +86,7 @@
 {
   while (!mIsStopped) {
     const bool isDone = Step(aYield);
-    DropLapsedTargets();
+    RemoveOverdue();
     if (!isDone && !mIsStopped) {
       const auto wait =
         kRetryWait / 2 + duration(static_cast<duration::rep>(
@@ -100,14 +108,17 @@
     // back soonest that way.
     return Watch(1ms, aYield) || Follow(aYield);
   }
+  const auto now = mScheduler.Now();
+  const auto untilOverdue = std::min(mLapsedTargets.TimeToOverdue(now),
+                                     mLapsedMembers.TimeToOverdue(now));
   if (mPeers.IsReader()) {
-    return Watch(mWatchWait, aYield);
+    return Watch(std::min(mWatchWait, untilOverdue), aYield);
   }
   if (!Follow(aYield) && !Watch(1ms, aYield)) {
     return false;
   }
   if (mIsHistoryKnown) {
-    mWoken.Wait(mScheduler, mFollowInterval, aYield);
+    mWoken.Wait(mScheduler, std::min(mFollowInterval, untilOverdue), aYield);
   }
   return true;
 }
@@ -289,7 +300,8 @@
   const bool wasAway =
     mLastAnswer != steady_time() && mView.mFreshness.Age(now) > kOutage;
   if (wasAway) {
-    mLapseGraceUntil = now + kLapseGrace;
+    mLapsedTargets.BeginGrace(now + kLapseGrace);
+    mLapsedMembers.BeginGrace(now + kLapseGrace);
   }
 }
 
@@ -329,13 +341,19 @@
 platform_sync::Apply(const platform_changes& aChanges, bool aIsWhole)
 {
   mRevision = std::max(mRevision, aChanges.mRevision);
-  std::vector<std::string> targets;
-  std::vector<std::string> members;
+  entry_changes seen;
+  if (aIsWhole) {
+    // What a whole read does not name is missing.
+    for (const auto& [id, entry] : mView.mTargets.All()) {
+      seen.mMissingTargets.insert(id);
+    }
+    const auto members = mView.mMembers.Registered();
+    seen.mMissingMembers.insert(members.begin(), members.end());
+  }
   struct visitor
   {
     platform_sync& mSync;
-    std::vector<std::string>& mTargets;
-    std::vector<std::string>& mMembers;
+    entry_changes& mSeen;
     bool mIsWhole;
 
     void operator()(const configuration_changed& aChange) const
@@ -344,9 +362,9 @@
     }
     void operator()(const target_changed& aChange) const
     {
-      mSync.mLapsed.erase(aChange.mEntry.mId);
+      mSeen.mMissingTargets.erase(aChange.mEntry.mId);
+      mSync.mLapsedTargets.OnReturned(aChange.mEntry.mId);
       mSync.mView.mTargets.Put(aChange.mEntry);
-      mTargets.push_back(aChange.mEntry.mId);
       // One line for each of thousands of targets would displace all others.
       if (mIsWhole) {
         return;
@@ -361,12 +379,15 @@
     }
     void operator()(const target_removed& aChange) const
     {
-      mSync.RemoveTarget(aChange.mId);
+      if (mSync.mView.mTargets.Find(aChange.mId) != nullptr) {
+        mSeen.mMissingTargets.insert(aChange.mId);
+      }
     }
     void operator()(const member_changed& aChange) const
     {
+      mSeen.mMissingMembers.erase(aChange.mMember.mName);
+      mSync.mLapsedMembers.OnReturned(aChange.mMember.mName);
       mSync.mView.mMembers.Put(aChange.mMember);
-      mMembers.push_back(aChange.mMember.mName);
       if (mIsWhole) {
         return;
       }
@@ -377,8 +398,7 @@
     }
     void operator()(const member_removed& aChange) const
     {
-      mSync.mView.mMembers.Remove(aChange.mName, mSync.mScheduler.Now());
-      Log(log_level::Info, "member_left", { { "peer", aChange.mName } });
+      mSeen.mMissingMembers.insert(aChange.mName);
     }
     void operator()(const entry_unreadable& aChange) const
     {
@@ -388,26 +408,33 @@
     }
   };
   for (const auto& event : aChanges.mEvents) {
-    std::visit(visitor{ *this, targets, members, aIsWhole }, event);
+    std::visit(visitor{ *this, seen, aIsWhole }, event);
   }
-  if (!aIsWhole) {
-    return;
+  RemoveMissing(seen.mMissingTargets, seen.mMissingMembers);
+  if (aIsWhole) {
+    Log(log_level::Info,
+        "store_read",
+        { { "revision", std::to_string(mRevision) },
+          { "targets", std::to_string(mView.mTargets.All().size()) },
+          { "members", std::to_string(mView.mMembers.Registered().size()) } });
   }
-  Log(log_level::Info,
-      "store_read",
-      { { "revision", std::to_string(mRevision) },
-        { "targets", std::to_string(targets.size()) },
-        { "members", std::to_string(members.size()) } });
-  std::vector<std::string> missing;
-  for (const auto& [id, entry] : mView.mTargets.All()) {
-    if (std::find(targets.begin(), targets.end(), id) == targets.end()) {
-      missing.push_back(id);
-    }
+}
+
+void
+platform_sync::RemoveMissing(const std::set<std::string>& aTargets,
+                             const std::set<std::string>& aMembers)
+{
+  const auto now = mScheduler.Now();
+  const std::vector<std::string> targets(aTargets.begin(), aTargets.end());
+  const auto knownTargets = mView.mTargets.All().size();
+  for (const auto& id : mLapsedTargets.Decide(targets, knownTargets, now)) {
+    RemoveTarget(id, "removed");
   }
-  for (const auto& id : missing) {
-    RemoveTarget(id);
+  const std::vector<std::string> members(aMembers.begin(), aMembers.end());
+  const auto knownMembers = mView.mMembers.Registered().size();
+  for (const auto& name : mLapsedMembers.Decide(members, knownMembers, now)) {
+    RemoveMember(name, "removed");
   }
-  mView.mMembers.Retain(members, mScheduler.Now());
 }
 
 void
@@ -429,34 +456,31 @@
 }
 
 void
-platform_sync::RemoveTarget(const std::string& aId)
+platform_sync::RemoveTarget(const std::string& aId, const char* aCause)
 {
-  const auto now = mScheduler.Now();
-  if (mView.mTargets.Find(aId) == nullptr) {
-    return;
-  }
-  if (now < mLapseGraceUntil) {
-    mLapsed.emplace(aId, mLapseGraceUntil);
-    return;
-  }
   mView.mTargets.Remove(aId);
-  Log(log_level::Info, "target_removed", { { "target", aId } });
+  Log(log_level::Info,
+      "target_removed",
+      { { "target", aId }, { "cause", aCause } });
+}
+
+void
+platform_sync::RemoveMember(const std::string& aName, const char* aCause)
+{
+  mView.mMembers.Remove(aName);
+  Log(
+    log_level::Info, "member_left", { { "peer", aName }, { "cause", aCause } });
 }
 
 void
-platform_sync::DropLapsedTargets()
+platform_sync::RemoveOverdue()
 {
   const auto now = mScheduler.Now();
-  for (auto lapsed = mLapsed.begin(); lapsed != mLapsed.end();) {
-    if (now < lapsed->second) {
-      ++lapsed;
-      continue;
-    }
-    mView.mTargets.Remove(lapsed->first);
-    Log(log_level::Info,
-        "target_removed",
-        { { "target", lapsed->first }, { "cause", "lapsed" } });
-    lapsed = mLapsed.erase(lapsed);
+  for (const auto& id : mLapsedTargets.TakeOverdue(now)) {
+    RemoveTarget(id, "lapsed");
+  }
+  for (const auto& name : mLapsedMembers.TakeOverdue(now)) {
+    RemoveMember(name, "lapsed");
   }
 }
 
--- a/modules/sync/platform_sync.h
+++ b/modules/sync/platform_sync.h
@@ -3,10 +3,11 @@
 #include "core/metrics.h"
 #include "core/random.h"
 #include "modules/sharing/peer_message.h"
+#include "modules/sync/lapsed_entries.h"
 #include "modules/sync/platform_feed.h"
 
 #include <deque>
-#include <map>
+#include <set>
 
 namespace cowslipline {
 
@@ -84,8 +85,11 @@
   void GrantLapseGrace();
   void Apply(const platform_changes& aChanges, bool aIsWhole);
   void ApplyConfiguration(const configuration_changed& aChange);
-  void RemoveTarget(const std::string& aId);
-  void DropLapsedTargets();
+  void RemoveMissing(const std::set<std::string>& aTargets,
+                     const std::set<std::string>& aMembers);
+  void RemoveTarget(const std::string& aId, const char* aCause);
+  void RemoveMember(const std::string& aName, const char* aCause);
+  void RemoveOverdue();
   void OnAnswer(steady_time aAskedAt);
   void OnFailure(std::error_code aError, const char* aCall);
 
@@ -107,10 +111,8 @@
   bool mIsHistoryKnown = false;
   std::uint64_t mRevision = 0;
   steady_time mLastAnswer;
-  /// Until then, entries that are missing may be back: they lapsed while the
-  /// store was away.
-  steady_time mLapseGraceUntil;
-  std::map<std::string, steady_time> mLapsed;
+  lapsed_entries mLapsedTargets;
+  lapsed_entries mLapsedMembers;
 };
 
 } // namespace cowslipline
--- a/tests/fakes/memory_platform_feed.cpp
+++ b/tests/fakes/memory_platform_feed.cpp
@@ -40,6 +40,13 @@
   mMembers.clear();
 }
 
+void
+memory_platform_feed::RemoveMember(const std::string& aName)
+{
+  mMembers.erase(aName);
+  Record(member_removed{ aName });
+}
+
 result<platform_changes>
 memory_platform_feed::ReadAll(yield_context)
 {
--- a/tests/fakes/memory_platform_feed.h
+++ b/tests/fakes/memory_platform_feed.h
@@ -25,6 +25,8 @@
 
   void SetDown(bool aIsDown) { mIsDown = aIsDown; }
   void EndLeases();
+  /// The member's registration ends, and watches are told.
+  void RemoveMember(const std::string& aName);
   int Calls() const { return mCalls; }
   std::size_t Members() const { return mMembers.size(); }
 
--- a/tests/sync/test_platform_sync.cpp
+++ b/tests/sync/test_platform_sync.cpp
@@ -200,6 +200,97 @@
     fixture.mClock.Advance(2900ms);
     LONGS_EQUAL(1, fixture.Ready());
   }
+  SECTION("one that left of many is gone with the first answer")
+  {
+    for (const bool isHistoryLost : { false, true }) {
+      sync_fixture fixture;
+      for (int i = 3; i <= 12; ++i) {
+        fixture.mFeed.PutTarget(Target("t" + std::to_string(i)));
+      }
+      fixture.mClock.Advance(1s);
+      fixture.mFeed.SetDown(true);
+      fixture.mClock.Advance(12s);
+      fixture.mFeed.RemoveTarget("t1");
+      if (isHistoryLost) {
+        fixture.mFeed.ForgetHistory();
+      }
+      fixture.mFeed.SetDown(false);
+      // The retry wait after a failed call is at most 0.3 s.
+      fixture.mClock.Advance(350ms);
+      LONGS_EQUAL(11, fixture.Ready());
+    }
+  }
+}
+
+TEST_GROUP(lapsed_entries){};
+
+// Guards against targets and members that are dropped together because the
+// store was away, and against single ones that are kept after they left.
+TEST(lapsed_entries, TellAnOutageFromSingleDepartures)
+{
+  using names = std::vector<std::string>;
+  const steady_time start(1h);
+  lapsed_entries lapsed;
+  lapsed.BeginGrace(start + 2s);
+
+  SECTION("without an outage every missing entry is gone")
+  {
+    CHECK(names({ "a", "b" }) ==
+          lapsed.Decide(names({ "a", "b" }), 2, start + 2s));
+  }
+  SECTION("one of many is gone at once")
+  {
+    CHECK(names({ "a" }) == lapsed.Decide(names({ "a" }), 40, start));
+  }
+  SECTION("many at once are held until they return or the time is over")
+  {
+    lapsed.BeginGrace(start + 2s);
+    CHECK(lapsed.Decide(names({ "a", "b", "c" }), 6, start).empty());
+    lapsed.OnReturned("b");
+    CHECK(duration(1s) == lapsed.TimeToOverdue(start + 1s));
+    CHECK(lapsed.TakeOverdue(start + 1s).empty());
+    CHECK(names({ "a", "c" }) == lapsed.TakeOverdue(start + 2s));
+    CHECK(duration::max() == lapsed.TimeToOverdue(start + 2s));
+  }
+  SECTION("those that lapse one after the other are held from a third on")
+  {
+    lapsed.BeginGrace(start + 2s);
+    CHECK(names({ "a" }) == lapsed.Decide(names({ "a" }), 6, start));
+    CHECK(lapsed.Decide(names({ "b", "c" }), 5, start + 100ms).empty());
+  }
+}
+
+// Guards against two owners of a quota: an instance that the store refuses
+// still follows its peers, and learns from them that its lease has lapsed.
+TEST(platform_sync, AnInstanceLearnsOfItsOwnLapsedRegistration)
+{
+  sync_fixture fixture;
+  const auto put = [&](fleet_member aMember) {
+    fixture.mClock.Spawn([&fixture, aMember](yield_context aYield) {
+      CHECK(fixture.mFeed.Register(aMember, 1, aYield).has_value());
+    });
+    fixture.mClock.Advance(200ms);
+  };
+  put(Self());
+  for (int i = 2; i <= 6; ++i) {
+    put({ "i" + std::to_string(i), "a", Self().mAddress });
+  }
+  const auto owns = [&] {
+    for (const auto* item : { "x", "y", "z", "w", "v", "u", "t", "s" }) {
+      const auto owners =
+        fixture.mView.mMembers.OwnersOf(item, 6, fixture.mClock.Now());
+      for (const auto* owner : owners) {
+        if (owner->mName == "i1") {
+          return true;
+        }
+      }
+    }
+    return false;
+  };
+  CHECK(owns());
+  fixture.mFeed.RemoveMember("i1");
+  fixture.mClock.Advance(1s);
+  CHECK_FALSE(owns());
 }
 
 // Guards against targets that stay listed because their removal was in a part
