Tool: cowslipline explain tells the story of a request from the logs

explain reads log files or standard input and tells why a request ended as it did, or what happened to a target or an organisation, in the order of time: the cause and what it means, what other requests saw of the same targets, who decided about the quota, and what the instance knew of the store.

--- a/apps/cowslipline/tool.cpp
+++ b/apps/cowslipline/tool.cpp
@@ -1,5 +1,6 @@
 #include "apps/cowslipline/tool.h"
 
+#include "apps/cowslipline/explain_command.h"
 #include "apps/cowslipline/file_commands.h"
 #include "apps/cowslipline/history_commands.h"
 #include "apps/cowslipline/key_commands.h"
@@ -31,6 +32,8 @@
       return RunKeysList(aOptions, aReporter);
     case tool_command::Status:
       return RunStatus(aOptions, aReporter);
+    case tool_command::Explain:
+      return RunExplain(aOptions, aReporter);
     case tool_command::Help:
     case tool_command::Version:
       break;
--- a/apps/cowslipline/tool_options.cpp
+++ b/apps/cowslipline/tool_options.cpp
@@ -26,9 +26,13 @@
   cowslipline keys withdraw [--store=<host:port>] [--json] [--author=<text>] ID
   cowslipline keys list [--store=<host:port>] [--json]
   cowslipline status [--json] --admin=<host:port> [--admin=<host:port>]...
+  cowslipline explain [--json] [--window=<s>] (--request=<id> | --target=<id> |
+                      --organisation=<name>) [LOG...]
   cowslipline --help
   cowslipline --version
 
+LOG is a file with log lines of instances, in any order and with any text before
+the JSON; without one they come from standard input.
 FILE is a service file in TOML or a folder, which stands for its *.toml files.
 
 Options:
@@ -46,6 +50,11 @@
   --wait                Wait until the version is in force at all instances
                         given by --admin.
   --timeout=<s>         Longest wait in seconds [default: 15].
+  --request=<id>        Id of a caller's attempt whose cause is looked for.
+  --target=<id>         Target whose story is told.
+  --organisation=<name> Organisation whose story is told.
+  --window=<s>          Seconds around a request that count as its
+                        circumstances [default: 5].
   --json                Print JSON.
   --help                Print this text.
   --version             Print the version.
@@ -134,6 +143,7 @@
     { "withdraw", tool_command::KeysWithdraw },
     { "list", tool_command::KeysList },
     { "status", tool_command::Status },
+    { "explain", tool_command::Explain },
   };
   for (const auto& [name, command] : commands) {
     if (IsSet(aArguments, name)) {
@@ -146,7 +156,8 @@
 bool
 IsStoreNeeded(tool_command aCommand)
 {
-  return aCommand != tool_command::Check && aCommand != tool_command::Status;
+  return aCommand != tool_command::Check && aCommand != tool_command::Status &&
+         aCommand != tool_command::Explain;
 }
 
 /// Reads the options one by one; the first mistake is kept.
@@ -169,6 +180,7 @@
     mOptions.mIsWaiting = IsSet(mArguments, "--wait");
     mOptions.mSecretFile = Text(mArguments, "--secret-file");
     mOptions.mAuthor = Text(mArguments, "--author", ReadEnvironment("USER"));
+    ReadSubject();
     ReadNumbers();
     ReadEndpoints();
     CheckKeyId();
@@ -195,8 +207,28 @@
     return number;
   }
 
+  void ReadSubject()
+  {
+    if (mOptions.mCommand != tool_command::Explain) {
+      return;
+    }
+    mOptions.mFiles = Texts(mArguments, "LOG");
+    const auto request = Text(mArguments, "--request");
+    const auto target = Text(mArguments, "--target");
+    if (!request.empty()) {
+      mOptions.mSubject = request_subject{ request };
+    } else if (!target.empty()) {
+      mOptions.mSubject = target_subject{ target };
+    } else {
+      mOptions.mSubject =
+        organisation_subject{ Text(mArguments, "--organisation") };
+    }
+  }
+
   void ReadNumbers()
   {
+    constexpr std::uint64_t kLongestWindow = 86400;
+    mOptions.mWindow = std::chrono::seconds(Number("--window", kLongestWindow));
     constexpr std::uint64_t kLongestTimeout = 3600;
     mOptions.mTimeout =
       std::chrono::seconds(Number("--timeout", kLongestTimeout));
--- a/apps/cowslipline/tool_options.h
+++ b/apps/cowslipline/tool_options.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "modules/configuration/text_form.h"
+#include "modules/explain/explain.h"
 
 #include <chrono>
 #include <cstdint>
@@ -23,6 +24,7 @@
   KeysWithdraw,
   KeysList,
   Status,
+  Explain,
   Help,
   Version,
 };
@@ -44,6 +46,8 @@
   std::vector<endpoint> mAdmin;
   std::string mSecretFile;
   std::string mAuthor;
+  std::optional<story_subject> mSubject; ///< Set for explain.
+  std::chrono::milliseconds mWindow{ 5000 };
   std::string mMessage; ///< Help or version text.
 };
 
