Explain: a request whose instance died, and one line for many instances

One had no line, since its instance lost power before the answer: each send is logged now, and explain tells that the end is missing. One whose caller had left was told as answered by the target: its cause is caller_gone now. Equal lines of many instances, such as the avoidance of a target, are joined into one. Tests: ARequestWhoseInstanceDied, JoinsWhatManyInstancesReport.

--- a/modules/explain/request_story.cpp
+++ b/modules/explain/request_story.cpp
@@ -46,14 +46,20 @@
 void
 request_story::FindRequest(std::string_view aText)
 {
-  if (mIsFound || aText.find(mId) == std::string_view::npos) {
+  if (mIsEnded || aText.find(mId) == std::string_view::npos) {
     return;
   }
   auto line = ParseLogLine(aText);
-  if (line && line->mEvent == "request" && line->Field("request") == mId) {
-    mIsFound = true;
+  if (!line || line->Field("request") != mId) {
+    return;
+  }
+  if (line->mEvent == "request") {
+    mIsEnded = true;
     mSends = ParseSends(line->Field("attempts"));
     mRequest = std::move(*line);
+  } else if (line->mEvent == "sent") {
+    mSends.push_back({ std::string(line->Field("target")), "open", "" });
+    mRequest = std::move(*line);
   }
 }
 
@@ -133,10 +139,16 @@
     }
     return;
   }
+  if (aLine.mEvent == "sent") {
+    return;
+  }
   if (!IsBelief(aLine)) {
     return;
   }
-  if (IsAround(aLine)) {
+  const bool isAfterwards = !mIsEnded && aLine.mTimeMs >= mRequest.mTimeMs &&
+                            aLine.mInstance == mRequest.mInstance &&
+                            IsStateEvent(aLine.mEvent);
+  if (IsAround(aLine) || isAfterwards) {
     mEvents.push_back(aLine);
     return;
   }
@@ -149,10 +161,27 @@
   }
 }
 
+std::string
+request_story::Headline() const
+{
+  const auto at = "request " + mId + " at " + mRequest.mInstance;
+  if (!mIsEnded) {
+    return at + ": sent, and no end";
+  }
+  return at + ": status " + std::string(mRequest.Field("status")) + ", cause " +
+         std::string(mRequest.Field("cause")) + ", after " +
+         std::string(mRequest.Field("took_ms")) + " ms";
+}
+
 std::vector<std::string>
 request_story::Findings() const
 {
   std::vector<std::string> findings;
+  if (!mIsEnded) {
+    findings.emplace_back("It was on its way to its target when the logs of "
+                          "the instance end: look for a later line started.");
+    return findings;
+  }
   const auto cause = mRequest.Field("cause");
   const auto text = DescribeCause(cause);
   findings.emplace_back(text.mMeaning.empty() ? "The cause is unknown."
@@ -187,10 +216,7 @@
 request_story::Tell() const
 {
   story told;
-  told.mHeadline = "request " + mId + " at " + mRequest.mInstance +
-                   ": status " + std::string(mRequest.Field("status")) +
-                   ", cause " + std::string(mRequest.Field("cause")) +
-                   ", after " + std::string(mRequest.Field("took_ms")) + " ms";
+  told.mHeadline = Headline();
   told.mFindings = Findings();
   for (const auto& [key, line] : mBefore) {
     told.mEvents.push_back(line);
--- a/modules/explain/request_story.h
+++ b/modules/explain/request_story.h
@@ -16,7 +16,8 @@
 
   /// First reading. aText is the line as it stands in the log.
   void FindRequest(std::string_view aText);
-  bool IsFound() const { return mIsFound; }
+  /// True when at least one send is known.
+  bool IsFound() const { return mIsEnded || !mSends.empty(); }
 
   /// Second reading.
   void AddCircumstance(const log_line& aLine);
@@ -29,12 +30,13 @@
   bool IsAboutOwner(const log_line& aLine) const;
   bool IsBelief(const log_line& aLine) const;
   void CountRequest(const log_line& aLine);
+  std::string Headline() const;
   std::vector<std::string> Findings() const;
 
   std::string mId;
   std::int64_t mWindowMs;
-  bool mIsFound = false;
-  log_line mRequest;
+  bool mIsEnded = false; ///< Its last line was found, not only sends.
+  log_line mRequest;     ///< Without it, the last send.
   std::vector<logged_send> mSends;
   std::vector<log_line> mEvents;
   /// The last line of each kind before the window, by instance or target.
--- a/modules/explain/story.cpp
+++ b/modules/explain/story.cpp
@@ -4,11 +4,50 @@
 #include "modules/explain/subject_story.h"
 
 #include <algorithm>
+#include <map>
+#include <set>
 
 namespace cowslipline {
 
 namespace {
 
+// Instances hear of a change within a second.
+constexpr std::int64_t kJoinMs = 1000;
+
+/// One line for what many instances report of the same target or peer, such as
+/// the avoidance of a target. The first one's instance and fields stay.
+std::vector<log_line>
+JoinInstances(std::vector<log_line> aEvents)
+{
+  struct joined
+  {
+    std::size_t mIndex;
+    std::set<std::string> mInstances;
+  };
+  std::vector<log_line> events;
+  std::map<std::string, joined> open;
+  for (auto& event : aEvents) {
+    const auto subject =
+      std::string(event.Field("target")) + std::string(event.Field("peer"));
+    const auto key =
+      event.mEvent + ' ' + subject + ' ' + std::string(event.Field("outcome"));
+    const auto found = open.find(key);
+    const bool isSame =
+      !subject.empty() && found != open.end() &&
+      event.mTimeMs - events[found->second.mIndex].mTimeMs < kJoinMs;
+    if (isSame) {
+      auto& instances = found->second.mInstances;
+      instances.insert(event.mInstance);
+      events[found->second.mIndex].mFields["instances"] =
+        std::to_string(instances.size());
+      continue;
+    }
+    open[key] = { events.size(), { event.mInstance } };
+    events.push_back(std::move(event));
+  }
+  return events;
+}
+
 /// Parses each line and counts what is missing from the logs.
 class counting_reader
 {
@@ -36,6 +75,7 @@
                      [](const auto& aLeft, const auto& aRight) {
                        return aLeft.mTimeMs < aRight.mTimeMs;
                      });
+    aStory.mEvents = JoinInstances(std::move(aStory.mEvents));
   }
 
 private:
--- a/modules/explain/story.h
+++ b/modules/explain/story.h
@@ -30,9 +30,11 @@
 {
   std::string mHeadline;
   std::vector<std::string> mFindings; ///< Sentences, the cause first.
-  std::vector<log_line> mEvents;      ///< In the order of time.
-  std::size_t mUnreadable = 0;        ///< Lines that are no log lines.
-  std::size_t mDropped = 0; ///< Lines that instances dropped under load.
+  /// In the order of time. Equal lines of several instances within a second
+  /// are one, with the number of instances in its field `instances`.
+  std::vector<log_line> mEvents;
+  std::size_t mUnreadable = 0; ///< Lines that are no log lines.
+  std::size_t mDropped = 0;    ///< Lines that instances dropped under load.
 };
 
 /// Reads the logs and tells the subject's story. aWindow: how far around a
--- a/modules/explain/subject_story.cpp
+++ b/modules/explain/subject_story.cpp
@@ -25,7 +25,7 @@
 target_story::Add(const log_line& aLine)
 {
   if (aLine.mEvent != "request") {
-    if (aLine.Field("target") == mId) {
+    if (aLine.mEvent != "sent" && aLine.Field("target") == mId) {
       mEvents.push_back(aLine);
     }
     return;
--- a/modules/proxy/request_handler.cpp
+++ b/modules/proxy/request_handler.cpp
@@ -401,6 +401,14 @@
   mProgress->mAttempts.push_back(started);
   mServices.mChooser.Begin(target.mId);
   ++mServices.mRequestsInFlight;
+  // The end of a request is not logged when the instance dies before it.
+  Log(log_level::Info,
+      "sent",
+      { { "request", mRequestId },
+        { "target", target.mId },
+        { "service", mService },
+        { "sends", std::to_string(mTried.size()) },
+        { "left_ms", Milliseconds(mDeadline - now) } });
   asio::spawn(
     mServices.mContext,
     [&services = mServices,
@@ -510,7 +518,10 @@
 request_handler::LogRequest(const std::optional<proxy_answer>& aAnswer) const
 {
   const auto now = mServices.mScheduler.Now();
-  const auto cause = aAnswer ? aAnswer->mCause : refusal_cause::None;
+  const auto cause = aAnswer ? aAnswer->mCause : refusal_cause::CallerGone;
+  // A caller that leaves is no fault of the fleet.
+  const bool isRefusal =
+    cause != refusal_cause::None && cause != refusal_cause::CallerGone;
   std::string attempts;
   for (const auto& sent : mProgress->mAttempts) {
     attempts += attempts.empty() ? "" : " ";
@@ -530,7 +541,7 @@
     "cowslipline_request_seconds",
     std::chrono::duration<double>(now - mReceivedAt).count());
   Log(
-    cause == refusal_cause::None ? log_level::Info : log_level::Warn,
+    isRefusal ? log_level::Warn : log_level::Info,
     "request",
     { { "request", mRequestId },
       { "status", status },
--- a/tests/explain/test_explain.cpp
+++ b/tests/explain/test_explain.cpp
@@ -171,6 +171,42 @@
   LONGS_EQUAL(2, told->mEvents.size());
 }
 
+// Guards against a request that nobody can explain because its instance died
+// before the answer.
+TEST(explain, ARequestWhoseInstanceDied)
+{
+  memory_log logs(
+    { Line(28, "e9", "sent", R"("request":"p","target":"i-3")"),
+      Line(28.5, "e9", "request", R"("request":"q","cause":"none")"),
+      Line(40, "e9", "started", ""),
+      Line(40, "e8", "started", "") });
+  const auto told = Explain(logs, request_subject{ "p" }, 5s);
+  CHECK(told.has_value());
+  CHECK(told->mHeadline.find("no end") != std::string::npos);
+  CHECK(HasFinding(*told, "later line started"));
+  LONGS_EQUAL(2, told->mEvents.size());
+  STRCMP_EQUAL("started", told->mEvents[1].mEvent.c_str());
+}
+
+// Guards against stories that are hidden in one line for each instance.
+TEST(explain, JoinsWhatManyInstancesReport)
+{
+  std::vector<std::string> lines;
+  for (int i = 0; i < 40; ++i) {
+    lines.push_back(Line(10 + i * 0.001,
+                         "e" + std::to_string(i),
+                         "target_avoided",
+                         R"("target":"i-7","outcome":"broken")"));
+  }
+  lines.push_back(
+    Line(14, "e1", "target_avoided", R"("target":"i-7","outcome":"broken")"));
+  memory_log logs(lines);
+  const auto told = Explain(logs, target_subject{ "i-7" }, 5s);
+  CHECK(told.has_value());
+  LONGS_EQUAL(2, told->mEvents.size());
+  STRCMP_EQUAL("40", told->mEvents[0].mFields.at("instances").c_str());
+}
+
 // Guards against stories of targets and organisations that leave out seconds.
 TEST(explain, TargetsAndOrganisationsBySecond)
 {
