Edge daemon: a changed settings file is applied while requests run

Cause: settings were only checked at SIGHUP, and a file that changed silently was not read at all. Change: the file is compared once a second and at SIGHUP. Bounds and limits are taken over; names, addresses and windows are named as needing a new process. A file with mistakes changes nothing. Limits are found through an index. Tests: edge_settings (three), FindsTheHolderOfAKey extended.

--- a/apps/cowslipline-edge/edge_settings.h
+++ b/apps/cowslipline-edge/edge_settings.h
@@ -2,6 +2,7 @@
 
 #include "modules/proxy/proxy_settings.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
--- a/apps/cowslipline-edge/main.cpp
+++ b/apps/cowslipline-edge/main.cpp
@@ -1,4 +1,4 @@
-#include "apps/cowslipline-edge/edge_settings.h"
+#include "apps/cowslipline-edge/settings_watch.h"
 #include "core/log.h"
 #include "modules/proxy/proxy.h"
 #include "platform/header_names.h"
@@ -31,7 +31,8 @@
   -h --help        Show this text.
   --version        Show the version.
 
-SIGTERM and SIGINT end the instance gracefully, SIGHUP reads the settings again.
+SIGTERM and SIGINT end the instance gracefully. A changed settings file is read
+again within a second, or at SIGHUP.
 
 Exit codes:
   0  ended gracefully, or the settings are correct
@@ -55,44 +56,52 @@
   return variable == nullptr ? "" : variable;
 }
 
-/// Logs what a changed settings file says. Addresses and bounds are fixed for
-/// the life of a process: the platform restarts it to change them.
+// The settings file may change without a signal; reading a kilobyte a second
+// costs nothing that can be measured.
+constexpr duration kSettingsPoll = std::chrono::seconds(1);
+
+/// Applies a changed settings file. With mistakes, the present settings stay.
 void
-CheckAgain(const std::string& aPath)
+ApplyChangedSettings(settings_watch& aWatch, proxy_instance& aInstance)
 {
-  const auto text = ReadSettingsFile(aPath);
-  const auto settings =
-    text ? ParseEdgeSettings(*text) : edge_settings{ {}, { "unreadable" } };
-  if (settings.mMistakes.empty()) {
-    Log(log_level::Info, "settings_read", { { "file", aPath } });
+  const auto settings = aWatch.Poll();
+  if (!settings) {
     return;
   }
-  for (const auto& mistake : settings.mMistakes) {
+  for (const auto& mistake : settings->mMistakes) {
     Log(log_level::Warn, "settings_wrong", { { "mistake", mistake } });
   }
+  if (!settings->mMistakes.empty()) {
+    return;
+  }
+  for (const auto& name : aInstance.Apply(settings->mProxy)) {
+    Log(log_level::Warn, "settings_need_restart", { { "setting", name } });
+  }
+  Log(log_level::Info, "settings_read", {});
 }
 
 void
 WatchSignals(asio::signal_set& aSignals,
-             const std::string& aPath,
+             std::function<void()> aReload,
              std::function<void()> aLeave)
 {
-  aSignals.async_wait([&aSignals, aPath, leave = std::move(aLeave)](
-                        const asio::error_code& aError, int aSignal) {
-    if (aError) {
-      return;
-    }
-    if (aSignal == SIGHUP) {
-      CheckAgain(aPath);
-      WatchSignals(aSignals, aPath, leave);
-      return;
-    }
-    leave();
-  });
+  aSignals.async_wait(
+    [&aSignals, reload = std::move(aReload), leave = std::move(aLeave)](
+      const asio::error_code& aError, int aSignal) {
+      if (aError) {
+        return;
+      }
+      if (aSignal == SIGHUP) {
+        reload();
+        WatchSignals(aSignals, reload, leave);
+        return;
+      }
+      leave();
+    });
 }
 
 int
-Run(const proxy_settings& aSettings, const std::string& aPath)
+Run(const proxy_settings& aSettings, settings_watch aWatch)
 {
   asio::io_context context(1);
   system_scheduler scheduler(context);
@@ -114,12 +123,19 @@
   (*instance)->Start();
   int exitCode = 0;
   asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
-  WatchSignals(signals, aPath, [&] {
+  const auto reload = [&] { ApplyChangedSettings(aWatch, **instance); };
+  WatchSignals(signals, reload, [&] {
     scheduler.Spawn([&](yield_context aYield) {
       exitCode = (*instance)->Leave(aYield) ? 0 : kExitCut;
       context.stop();
     });
   });
+  scheduler.Spawn([&](yield_context aYield) {
+    while (true) {
+      scheduler.SleepFor(kSettingsPoll, aYield);
+      reload();
+    }
+  });
   context.run();
   // Tasks that still wait hold references to the instance: the process ends
   // without unwinding them.
@@ -155,5 +171,5 @@
   }
   std::signal(SIGPIPE, SIG_IGN);
   ConfigureLog(log_level::Info, settings.mProxy.mInstance, log_stream::Output);
-  return Run(settings.mProxy, path);
+  return Run(settings.mProxy, settings_watch(path, *text));
 }
--- a/modules/placement/retry_accounts.h
+++ b/modules/placement/retry_accounts.h
@@ -52,6 +52,9 @@
   {
   }
 
+  /// The window must stay the same.
+  void SetLimit(const retry_limit& aLimit) { mLimit = aLimit; }
+
   /// Takes one repeated send; false when there is none left. aRequests: the
   /// asking instance's requests of the service since its last question.
   bool Take(std::string_view aService,
--- a/modules/placement/target_chooser.h
+++ b/modules/placement/target_chooser.h
@@ -41,6 +41,8 @@
                  double aFloorShare,
                  std::uint64_t aSeed);
 
+  void SetFloorShare(double aFloorShare) { mFloorShare = aFloorShare; }
+
   /// Nothing when no candidate is left that this request was not sent to.
   std::optional<std::size_t> Choose(
     const std::vector<placement_candidate>& aCandidates,
--- a/modules/proxy/proxy_instance.cpp
+++ b/modules/proxy/proxy_instance.cpp
@@ -125,13 +125,55 @@
   if (!mView.mRoutes) {
     return {};
   }
-  for (const auto& organisation :
-       mView.mRoutes->Configuration().mOrganisations) {
-    if (organisation.mName == aOrganisation) {
-      return { organisation.mRate, organisation.mBurst };
+  const auto* organisation =
+    mView.mRoutes->FindOrganisationByName(aOrganisation);
+  return organisation == nullptr
+           ? quota_limit{}
+           : quota_limit{ organisation->mRate, organisation->mBurst };
+}
+
+std::vector<std::string>
+proxy_instance::Apply(const proxy_settings& aSettings)
+{
+  const auto& bounds = aSettings.mBounds;
+  const auto& quotas = bounds.mOwners.mQuotas;
+  const auto& retries = bounds.mOwners.mRetries;
+  auto& present = mSettings.mBounds.mOwners;
+  const std::pair<const char*, bool> fixed[] = {
+    { "instance", aSettings.mInstance != mSettings.mInstance },
+    { "availability_zone",
+      aSettings.mAvailabilityZone != mSettings.mAvailabilityZone },
+    { "listen.callers", aSettings.mCallers != mSettings.mCallers },
+    { "listen.readiness", aSettings.mReadiness != mSettings.mReadiness },
+    { "listen.metrics", aSettings.mMetrics != mSettings.mMetrics },
+    { "listen.peers", aSettings.mPeers != mSettings.mPeers },
+    { "store.address", aSettings.mStore != mSettings.mStore },
+    // What was admitted is counted by parts of these.
+    { "bounds.quota_window_seconds",
+      quotas.mWindow != present.mQuotas.mWindow },
+    { "bounds.retry_window_seconds",
+      retries.mWindow != present.mRetries.mWindow },
+  };
+  std::vector<std::string> unapplied;
+  for (const auto& [name, isChanged] : fixed) {
+    if (isChanged) {
+      unapplied.emplace_back(name);
     }
   }
-  return {};
+  present.mQuotas.mOvershoot = quotas.mOvershoot;
+  present.mQuotas.mSlack = quotas.mSlack;
+  present.mRetries.mRatio = retries.mRatio;
+  present.mRetries.mExtra = retries.mExtra;
+  mOwners.SetLimits(present);
+  mSettings.mBounds.mRevocation = bounds.mRevocation;
+  mView.mFreshness.SetRevocationBound(bounds.mRevocation);
+  mSettings.mBounds.mConfiguration = bounds.mConfiguration;
+  mSync.SetConfigurationBound(bounds.mConfiguration);
+  mSettings.mBounds.mFloorShare = bounds.mFloorShare;
+  mChooser.SetFloorShare(bounds.mFloorShare);
+  mSettings.mGrace = aSettings.mGrace;
+  mSettings.mBufferedBytes = aSettings.mBufferedBytes;
+  return unapplied;
 }
 
 void
--- a/modules/proxy/proxy_instance.h
+++ b/modules/proxy/proxy_instance.h
@@ -24,6 +24,10 @@
   /// Starts the tasks that follow the store, the registration and the peers.
   void Start();
 
+  /// Takes over new settings while requests run. Returns the names of changed
+  /// settings that need a new process: addresses, names and windows.
+  std::vector<std::string> Apply(const proxy_settings& aSettings);
+
   /// Takes the instance out of service: callers' requests finish, connections
   /// close. Returns when nothing is in flight or the grace time is over; true
   /// when no request was cut.
--- a/modules/routing/configuration_freshness.h
+++ b/modules/routing/configuration_freshness.h
@@ -21,6 +21,8 @@
   {
   }
 
+  void SetRevocationBound(duration aBound) { mValidity = aBound * 9 / 10; }
+
   /// The store has answered, from its current state, a question that was sent
   /// at this time, and everything in the answer is in force.
   void Confirm(steady_time aAskedAt)
--- a/modules/routing/route_index.cpp
+++ b/modules/routing/route_index.cpp
@@ -42,6 +42,7 @@
     mRoutes.emplace(RouteKey(route.mHost, route.mPathPrefix), &route);
   }
   for (const auto& organisation : mConfiguration.mOrganisations) {
+    mOrganisations.emplace(organisation.mName, &organisation);
     for (const auto& key : organisation.mKeys) {
       mKeys.emplace(key, &organisation);
     }
@@ -79,6 +80,13 @@
   return found == mKeys.end() ? nullptr : found->second;
 }
 
+const organisation_spec*
+route_index::FindOrganisationByName(std::string_view aName) const
+{
+  const auto found = mOrganisations.find(aName);
+  return found == mOrganisations.end() ? nullptr : found->second;
+}
+
 const service_spec*
 route_index::FindService(std::string_view aName) const
 {
--- a/modules/routing/route_index.h
+++ b/modules/routing/route_index.h
@@ -26,6 +26,8 @@
   /// The organisation that holds the key; null when nobody does.
   const organisation_spec* FindOrganisation(std::string_view aKey) const;
 
+  const organisation_spec* FindOrganisationByName(std::string_view aName) const;
+
   const service_spec* FindService(std::string_view aName) const;
 
 private:
@@ -35,6 +37,7 @@
   /// Host and prefix, joined by a space, which neither contains.
   std::unordered_map<std::string, const route_spec*> mRoutes;
   std::unordered_map<std::string_view, const organisation_spec*> mKeys;
+  std::unordered_map<std::string_view, const organisation_spec*> mOrganisations;
   std::unordered_map<std::string_view, const service_spec*> mServices;
 };
 
--- a/modules/sharing/owner_client.cpp
+++ b/modules/sharing/owner_client.cpp
@@ -37,6 +37,14 @@
 {
 }
 
+void
+owner_client::SetLimits(const owner_limits& aLimits)
+{
+  mQuotas.SetTolerance(aLimits.mQuotas);
+  mLocalShares.SetTolerance(aLimits.mQuotas);
+  mRetries.SetLimit(aLimits.mRetries);
+}
+
 std::vector<fleet_member>
 owner_client::OwnersOf(const std::string& aItem) const
 {
--- a/modules/sharing/owner_client.h
+++ b/modules/sharing/owner_client.h
@@ -48,6 +48,9 @@
                const owner_limits& aLimits,
                std::uint64_t aSeed);
 
+  /// The windows must stay the same.
+  void SetLimits(const owner_limits& aLimits);
+
   quota_admission Admit(const std::string& aOrganisation,
                         const quota_limit& aLimit,
                         yield_context aYield);
--- a/modules/sharing/quota_bucket.h
+++ b/modules/sharing/quota_bucket.h
@@ -52,6 +52,12 @@
   {
   }
 
+  /// The window must stay the same.
+  void SetTolerance(const quota_tolerance& aTolerance)
+  {
+    mTolerance = aTolerance;
+  }
+
   /// aSince: the last change of the members. Before it, another instance may
   /// have been asked; nobody has been since then.
   quota_decision Admit(std::string_view aOrganisation,
--- a/modules/sync/platform_sync.cpp
+++ b/modules/sync/platform_sync.cpp
@@ -75,10 +75,16 @@
   , mMetrics(aMetrics)
   , mPeers(aPeers)
   , mRandom(aSeed)
-  , mWatchWait(PartOf(aConfigurationBound, kWatchPart))
-  , mFollowInterval(PartOf(aConfigurationBound, kFollowPart))
-  , mBelievedAge(PartOf(aConfigurationBound, kBelievedPart))
 {
+  SetConfigurationBound(aConfigurationBound);
+}
+
+void
+platform_sync::SetConfigurationBound(duration aBound)
+{
+  mWatchWait = PartOf(aBound, kWatchPart);
+  mFollowInterval = PartOf(aBound, kFollowPart);
+  mBelievedAge = PartOf(aBound, kBelievedPart);
 }
 
 void
--- a/modules/sync/platform_sync.h
+++ b/modules/sync/platform_sync.h
@@ -64,6 +64,8 @@
                 duration aConfigurationBound,
                 std::uint64_t aSeed);
 
+  void SetConfigurationBound(duration aBound);
+
   /// Runs until Stop().
   void Run(yield_context aYield);
   void Stop() { mIsStopped = true; }
@@ -99,9 +101,9 @@
   metrics& mMetrics;
   sync_peers& mPeers;
   random_source mRandom;
-  duration mWatchWait;
-  duration mFollowInterval;
-  duration mBelievedAge;
+  duration mWatchWait{ 0 };
+  duration mFollowInterval{ 0 };
+  duration mBelievedAge{ 0 };
   event mWoken;
   /// Changes of late, for those who ask.
   std::deque<changes_answer> mRecent;
--- /dev/null
+++ b/tests/proxy/test_edge_settings.cpp
@@ -0,0 +1,104 @@
+#include "apps/cowslipline-edge/settings_watch.h"
+#include "tests/proxy/edge_fixture.h"
+#include "tests/story.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+
+#include <unistd.h>
+
+using namespace cowslipline;
+using namespace cowslipline::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr char kSettings[] = R"(instance = "e1"
+availability_zone = "a"
+[listen]
+callers = "127.0.0.1:1"
+readiness = "127.0.0.1:2"
+peers = "127.0.0.1:3"
+metrics = "127.0.0.1:4"
+[store]
+address = "127.0.0.1:5"
+)";
+
+} // namespace
+
+TEST_GROUP(edge_settings){};
+
+// Guards against an operator who mends one mistake after the other.
+TEST(edge_settings, NamesAllMistakesAtOnce)
+{
+  const auto settings = ParseEdgeSettings("instance = \"e1\"\n"
+                                          "[bounds]\nfloor_share = 7\n"
+                                          "[listen]\ncallers = \"here\"\n");
+  // Zone, four addresses and the floor; "here" is no address.
+  LONGS_EQUAL(7, settings.mMistakes.size());
+  CHECK(ParseEdgeSettings(kSettings).mMistakes.empty());
+  LONGS_EQUAL(1, ParseEdgeSettings("instance = ").mMistakes.size());
+}
+
+// Guards against settings that change silently and are never read, and against
+// a bad file that replaces good settings.
+TEST(edge_settings, AChangedFileIsNoticed)
+{
+  char path[] = "/tmp/cowslipline-settings-XXXXXX";
+  const int file = ::mkstemp(path);
+  CHECK(file >= 0);
+  ::close(file);
+  const auto write = [&](const std::string& aText) {
+    std::ofstream(path) << aText;
+  };
+  write(kSettings);
+  settings_watch watch(path, kSettings);
+  CHECK_FALSE(watch.Poll().has_value());
+
+  SECTION("a changed bound is read once")
+  {
+    write(std::string(kSettings) + "[bounds]\nquota_slack = 35\n");
+    const auto changed = watch.Poll();
+    CHECK(changed.has_value());
+    CHECK(changed->mMistakes.empty());
+    DOUBLES_EQUAL(35, changed->mProxy.mBounds.mOwners.mQuotas.mSlack, 1e-9);
+    CHECK_FALSE(watch.Poll().has_value());
+  }
+  SECTION("a mistake is told once")
+  {
+    write("instance = 3");
+    CHECK_FALSE(watch.Poll()->mMistakes.empty());
+    CHECK_FALSE(watch.Poll().has_value());
+  }
+  SECTION("a file that is away for a moment changes nothing")
+  {
+    std::remove(path);
+    CHECK_FALSE(watch.Poll().has_value());
+  }
+  std::remove(path);
+}
+
+// Guards against a shorter revocation bound that is in force only after a
+// restart: until then withdrawn keys would work for too long.
+TEST(edge_settings, NewBoundsApplyToTheRunningInstance)
+{
+  edge_fixture fixture;
+  fixture.Run([&](yield_context aYield) {
+    auto changed = fixture.mSettings;
+    changed.mBounds.mRevocation = 1s;
+    CHECK(fixture.mInstance->Apply(changed).empty());
+    fixture.mFeed.SetDown(true);
+    fixture.Sleep(1500ms, aYield);
+    const auto answer = fixture.Call("GET", "/specs/1", aYield);
+    LONGS_EQUAL(503, answer->mHead.mStatus);
+  });
+
+  SECTION("what needs a new process is named")
+  {
+    auto changed = fixture.mSettings;
+    changed.mAvailabilityZone = "elsewhere";
+    changed.mBounds.mOwners.mQuotas.mWindow = 9s;
+    LONGS_EQUAL(2, fixture.mInstance->Apply(changed).size());
+  }
+}
--- a/tests/routing/test_route_index.cpp
+++ b/tests/routing/test_route_index.cpp
@@ -80,6 +80,9 @@
   STRCMP_EQUAL("jardins", index->FindOrganisation("k3")->mName.c_str());
   POINTERS_EQUAL(nullptr, index->FindOrganisation("k"));
   POINTERS_EQUAL(nullptr, index->FindOrganisation(""));
+  CHECK(index->FindOrganisationByName("jardins") ==
+        index->FindOrganisation("k3"));
+  POINTERS_EQUAL(nullptr, index->FindOrganisationByName("k3"));
 }
 
 // Guards against shares that are right only after thousands of requests: an
