--- a/apps/cowslipline/explain_command.cpp
+++ b/apps/cowslipline/explain_command.cpp
@@ -82,7 +82,7 @@
     TimeText(aEvent.mTimeMs) + "  " + aEvent.mInstance + "  " + aEvent.mEvent;
   for (const auto& [name, value] : aEvent.mFields) {
     if (name != "level" && !value.empty()) {
-      text += ' ' + name + '=' + value;
+      text.append(" ").append(name).append("=").append(value);
     }
   }
   return text;
--- a/modules/explain/request_story.cpp
+++ b/modules/explain/request_story.cpp
@@ -188,8 +188,10 @@
                                               : text.mMeaning);
   const auto span = "within " + std::to_string(mWindowMs) + " ms";
   for (const auto& [target, sends] : mSendsOfTarget) {
-    findings.push_back("Sends to " + target + ' ' + span + ": " + sends.Text() +
-                       '.');
+    std::string finding = "Sends to ";
+    finding.append(target).append(" ").append(span).append(": ");
+    finding.append(sends.Text()).append(".");
+    findings.push_back(std::move(finding));
   }
   if (cause == "over_quota") {
     findings.push_back("Requests of " +
--- a/tests/explain/test_explain.cpp
+++ b/tests/explain/test_explain.cpp
@@ -192,6 +192,7 @@
 TEST(explain, JoinsWhatManyInstancesReport)
 {
   std::vector<std::string> lines;
+  lines.reserve(41);
   for (int i = 0; i < 40; ++i) {
     lines.push_back(Line(10 + i * 0.001,
                          "e" + std::to_string(i),
--- a/tests/sync/test_platform_sync.cpp
+++ b/tests/sync/test_platform_sync.cpp
@@ -265,7 +265,7 @@
 TEST(platform_sync, AnInstanceLearnsOfItsOwnLapsedRegistration)
 {
   sync_fixture fixture;
-  const auto put = [&](fleet_member aMember) {
+  const auto put = [&](const fleet_member& aMember) {
     fixture.mClock.Spawn([&fixture, aMember](yield_context aYield) {
       CHECK(fixture.mFeed.Register(aMember, 1, aYield).has_value());
     });
