--- a/core/http_message.cpp
+++ b/core/http_message.cpp
@@ -12,10 +12,14 @@
 constexpr std::size_t kResponseHeadBytes = 32'768;
 constexpr int kLowestFinalStatus = 200;
 
+// A server that sends interim responses without end never answers.
+constexpr int kMostInterimResponses = 16;
+
 result<void>
 ReadExactly(tcp_stream& aStream,
             std::uint64_t aBytes,
             std::string& aBody,
+            body_lease& aLease,
             steady_time aDeadline,
             yield_context aYield)
 {
@@ -30,6 +34,9 @@
     }
     const auto part = static_cast<std::size_t>(
       std::min<std::uint64_t>(aBytes, buffered.size()));
+    if (!aLease.Grow(part)) {
+      return Fail(errc::TooLarge);
+    }
     aBody.append(buffered.substr(0, part));
     aStream.Consume(part);
     aBytes -= part;
@@ -96,7 +103,7 @@
 
 result<std::string>
 ReadChunks(tcp_stream& aStream,
-           std::size_t aLimitBytes,
+           body_lease& aLease,
            steady_time aDeadline,
            yield_context aYield)
 {
@@ -117,10 +124,8 @@
       }
       return body;
     }
-    if (*size > aLimitBytes - body.size()) {
-      return Fail(errc::TooLarge);
-    }
-    const auto read = ReadExactly(aStream, *size, body, aDeadline, aYield);
+    const auto read =
+      ReadExactly(aStream, *size, body, aLease, aDeadline, aYield);
     if (!read) {
       return Fail(read.error());
     }
@@ -138,17 +143,17 @@
 /// reset before the orderly end leaves it incomplete.
 result<std::string>
 ReadUntilEnd(tcp_stream& aStream,
-             std::size_t aLimitBytes,
+             body_lease& aLease,
              steady_time aDeadline,
              yield_context aYield)
 {
   std::string body;
   while (true) {
-    body.append(aStream.Buffered());
-    aStream.Consume(aStream.Buffered().size());
-    if (body.size() > aLimitBytes) {
+    if (!aLease.Grow(aStream.Buffered().size())) {
       return Fail(errc::TooLarge);
     }
+    body.append(aStream.Buffered());
+    aStream.Consume(aStream.Buffered().size());
     const auto filled = aStream.Fill(aDeadline, aYield);
     if (filled) {
       continue;
@@ -188,19 +193,20 @@
 result<std::string>
 ReadBody(tcp_stream& aStream,
          const body_framing& aFraming,
-         std::size_t aLimitBytes,
+         body_lease& aLease,
          steady_time aDeadline,
          yield_context aYield)
 {
   if (aFraming.mIsChunked) {
-    return ReadChunks(aStream, aLimitBytes, aDeadline, aYield);
+    return ReadChunks(aStream, aLease, aDeadline, aYield);
   }
   const auto length = aFraming.mLength.value_or(0);
-  if (length > aLimitBytes) {
+  if (!aLease.IsWithinLimit(length)) {
     return Fail(errc::TooLarge);
   }
   std::string body;
-  const auto read = ReadExactly(aStream, length, body, aDeadline, aYield);
+  const auto read =
+    ReadExactly(aStream, length, body, aLease, aDeadline, aYield);
   if (!read) {
     return Fail(read.error());
   }
@@ -210,12 +216,13 @@
 result<http_response>
 ReadResponse(tcp_stream& aStream,
              bool aIsHeadRequest,
-             std::size_t aLimitBytes,
+             body_lease aLease,
              steady_time aDeadline,
              yield_context aYield)
 {
   head_limits limits;
   limits.mBytes = kResponseHeadBytes;
+  int interim = 0;
   while (true) {
     const auto bytes = ReadHeadBytes(aStream, limits.mBytes, aDeadline, aYield);
     if (!bytes) {
@@ -226,6 +233,9 @@
       return Fail(errc::MessageMalformed);
     }
     if (head->mStatus < kLowestFinalStatus) {
+      if (++interim > kMostInterimResponses) {
+        return Fail(errc::MessageMalformed);
+      }
       continue;
     }
     http_response response;
@@ -236,12 +246,13 @@
     const bool isFramed = !hasBody || framing.mIsChunked || framing.mLength;
     auto body = !hasBody ? result<std::string>(std::string())
                 : isFramed
-                  ? ReadBody(aStream, framing, aLimitBytes, aDeadline, aYield)
-                  : ReadUntilEnd(aStream, aLimitBytes, aDeadline, aYield);
+                  ? ReadBody(aStream, framing, aLease, aDeadline, aYield)
+                  : ReadUntilEnd(aStream, aLease, aDeadline, aYield);
     if (!body) {
       return Fail(body.error());
     }
     response.mBody = std::move(*body);
+    response.mLease = std::move(aLease);
     response.mIsConnectionReusable =
       isFramed && response.mHead.mMinorVersion == 1 &&
       !response.mHead.mHeaders.HasToken("Connection", "close");
--- a/core/http_message.h
+++ b/core/http_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/buffer_budget.h"
 #include "core/http_head.h"
 #include "core/tcp_stream.h"
 
@@ -15,6 +16,8 @@
 {
   response_head mHead;
   std::string mBody;
+  /// Accounts for the bytes of the body.
+  body_lease mLease{ 0 };
   /// False when the body's length was given by the end of the connection, or
   /// when the sender asked for the connection to be closed.
   bool mIsConnectionReusable = false;
@@ -29,19 +32,19 @@
               yield_context aYield);
 
 /// Reads the body that the framing announces, without trailers. Errors: as
-/// above.
+/// above; errc::TooLarge when the lease does not let the body grow.
 result<std::string>
 ReadBody(tcp_stream& aStream,
          const body_framing& aFraming,
-         std::size_t aLimitBytes,
+         body_lease& aLease,
          steady_time aDeadline,
          yield_context aYield);
 
-/// Reads one final response; interim ones (1xx) are passed over.
+/// Reads one final response; a few interim ones (1xx) are passed over.
 result<http_response>
 ReadResponse(tcp_stream& aStream,
              bool aIsHeadRequest,
-             std::size_t aLimitBytes,
+             body_lease aLease,
              steady_time aDeadline,
              yield_context aYield);
 
--- a/core/tcp_stream.cpp
+++ b/core/tcp_stream.cpp
@@ -137,16 +137,22 @@
 result<void>
 tcp_stream::Fill(steady_time aDeadline, yield_context aYield)
 {
-  if (mStart > 0) {
-    mBuffer.erase(0, mStart);
-    mStart = 0;
-  }
   // Wait first: a buffer exists only while there are bytes for it, which keeps
   // the memory of idle connections small.
   auto readable = WaitReadable(aDeadline, aYield);
   if (!readable) {
     return readable;
   }
+  return FillWithoutWaiting();
+}
+
+result<void>
+tcp_stream::FillWithoutWaiting()
+{
+  if (mStart > 0) {
+    mBuffer.erase(0, mStart);
+    mStart = 0;
+  }
   const auto size = mBuffer.size();
   mBuffer.resize(size + kReadBytes);
   asio::error_code error;
--- a/core/tcp_stream.h
+++ b/core/tcp_stream.h
@@ -43,6 +43,10 @@
   /// Reads at least one byte more into the buffer.
   result<void> Fill(steady_time aDeadline, yield_context aYield);
 
+  /// Takes the bytes that have arrived into the buffer without waiting. Errors:
+  /// those of the socket; none when nothing has arrived.
+  result<void> FillWithoutWaiting();
+
   /// Waits until bytes, an end or an error can be read. Does not read.
   result<void> WaitReadable(steady_time aDeadline, yield_context aYield);
 
--- a/modules/proxy/proxy_instance.cpp
+++ b/modules/proxy/proxy_instance.cpp
@@ -60,6 +60,7 @@
   : mScheduler(aScheduler)
   , mSettings(aSettings)
   , mRandom(aSeed)
+  , mBuffers(aSettings.mBufferedBytes)
   , mLink(std::move(aLink))
   , mView(aSettings.mBounds.mRevocation,
           { aSettings.mInstance,
@@ -86,7 +87,7 @@
                mChooser,   mCrashes,
                mOwners,    mReports,
                mPool,      mMetrics,
-               mRandom }
+               mRandom,    mBuffers }
   , mZone(aScheduler, mView.mMembers, *mLink, mRandom.Next() >> 1)
   , mSync(aScheduler,
           aFeed,
@@ -173,6 +174,7 @@
   mChooser.SetFloorShare(bounds.mFloorShare);
   mSettings.mGrace = aSettings.mGrace;
   mSettings.mBufferedBytes = aSettings.mBufferedBytes;
+  mBuffers.SetLimit(aSettings.mBufferedBytes);
   return unapplied;
 }
 
@@ -274,6 +276,7 @@
       static_cast<double>(mListener.Connections()) },
     { "cowslipline_upstream_connections_idle",
       static_cast<double>(mPool.Size()) },
+    { "cowslipline_buffered_body_bytes", static_cast<double>(mBuffers.Used()) },
     { "cowslipline_peer_bytes_sent", static_cast<double>(mLink->BytesSent()) },
     { "cowslipline_peer_messages_dropped",
       static_cast<double>(mLink->MessagesDropped()) },
--- a/modules/proxy/proxy_instance.h
+++ b/modules/proxy/proxy_instance.h
@@ -35,9 +35,13 @@
 
   tcp_endpoint CallersAddress() const { return mListener.LocalAddress(); }
   tcp_endpoint ReadinessAddress() const { return mReadiness.LocalAddress(); }
+  asio::ip::udp::endpoint PeersAddress() const { return mLink->LocalAddress(); }
   bool IsReady() const { return mServices.IsReady(); }
   metrics& Metrics() { return mMetrics; }
 
+  /// What the readiness and metrics addresses answer for a path.
+  page RenderPage(std::string_view aPath);
+
 private:
   proxy_instance(scheduler& aScheduler,
                  const proxy_settings& aSettings,
@@ -50,12 +54,12 @@
   quota_limit LimitOf(std::string_view aOrganisation) const;
   void RunHousekeeping(yield_context aYield);
   void RunLoadReports(yield_context aYield);
-  page RenderPage(std::string_view aPath);
   std::string RenderGauges() const;
 
   scheduler& mScheduler;
   proxy_settings mSettings;
   random_source mRandom;
+  buffer_budget mBuffers;
   metrics mMetrics;
   std::unique_ptr<peer_link> mLink;
   platform_view mView;
--- a/modules/proxy/proxy_services.h
+++ b/modules/proxy/proxy_services.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/buffer_budget.h"
 #include "core/metrics.h"
 #include "modules/placement/placement.h"
 #include "modules/proxy/fleet_evidence.h"
@@ -34,9 +35,10 @@
   upstream_pool& mPool;
   metrics& mMetrics;
   random_source& mRandom;
+  /// Bodies of requests and answers in memory.
+  buffer_budget& mBuffers;
   lifecycle_phase mPhase = lifecycle_phase::Serving;
   std::size_t mRequestsInFlight = 0;
-  std::size_t mBufferedBytes = 0;
   /// Shares of routes with several services, by route name.
   std::unordered_map<std::string, weighted_service_picker> mShares{};
 
--- a/modules/proxy/request_handler.cpp
+++ b/modules/proxy/request_handler.cpp
@@ -393,6 +393,7 @@
   started->mStartedAt = now;
   started->mExchange = std::make_shared<target_exchange>(mServices.mContext,
                                                          mServices.mPool,
+                                                         mServices.mBuffers,
                                                          mServices.mNames,
                                                          mTargetRequest,
                                                          target);
@@ -511,6 +512,7 @@
   answer.mStatus = aResponse.mHead.mStatus;
   answer.mHeaders = EndToEndHeaders(aResponse.mHead.mHeaders);
   answer.mBody = std::move(aResponse.mBody);
+  answer.mLease = std::move(aResponse.mLease);
   return answer;
 }
 
--- a/modules/proxy/request_handler.h
+++ b/modules/proxy/request_handler.h
@@ -12,6 +12,7 @@
   int mStatus = 0;
   header_list mHeaders; ///< Without framing and connection headers.
   std::string mBody;
+  body_lease mLease{ 0 }; ///< Accounts for the bytes of the body.
   refusal_cause mCause = refusal_cause::None;
 };
 
--- a/modules/proxy/target_exchange.cpp
+++ b/modules/proxy/target_exchange.cpp
@@ -23,6 +23,9 @@
 
 constexpr std::size_t kAnswerBytes = 64UL * 1024 * 1024;
 
+// A target that goes on sending answers of other requests has lost track.
+constexpr int kMostForeignAnswers = 4;
+
 constexpr int kStatusMisdirected = 421;
 
 bool
@@ -60,11 +63,13 @@
 target_exchange::target_exchange(
   asio::io_context& aContext,
   upstream_pool& aPool,
+  buffer_budget& aBuffers,
   const fleet_header_names& aNames,
   std::shared_ptr<const outgoing_request> aRequest,
   const target_entry& aTarget)
   : mContext(aContext)
   , mPool(aPool)
+  , mBuffers(aBuffers)
   , mNames(aNames)
   , mRequest(std::move(aRequest))
   , mTargetId(aTarget.mId)
@@ -172,8 +177,11 @@
 target_exchange::ReadAnswer(steady_time aDeadline, yield_context aYield)
 {
   while (true) {
-    auto response = ReadResponse(
-      *mStream, mRequest->mMethod == "HEAD", kAnswerBytes, aDeadline, aYield);
+    auto response = ReadResponse(*mStream,
+                                 mRequest->mMethod == "HEAD",
+                                 body_lease(kAnswerBytes, mBuffers),
+                                 aDeadline,
+                                 aYield);
     if (!response && response.error() == errc::Timeout) {
       mStream->Close();
       return Fail(exchange_outcome::TimedOut, true, "no_answer");
@@ -185,8 +193,9 @@
     const auto id = response->mHead.mHeaders.Find(mNames.mRequestId);
     if (id && *id != mRequest->mRequestId) {
       // A late or second answer to an earlier request; the own one may follow.
-      mHasForeignAnswer = true;
-      if (response->mIsConnectionReusable) {
+      ++mForeignAnswers;
+      if (response->mIsConnectionReusable &&
+          mForeignAnswers <= kMostForeignAnswers) {
         continue;
       }
       mStream->Close();
@@ -235,7 +244,7 @@
 target_exchange::KeepConnection(const http_response& aResponse)
 {
   const bool isReusable = aResponse.mIsConnectionReusable && mIsWritten &&
-                          !mHasForeignAnswer && mStream->IsQuiet();
+                          mForeignAnswers == 0 && mStream->IsQuiet();
   if (isReusable) {
     mPool.Put(mTargetId,
               std::move(mStream),
--- a/modules/proxy/target_exchange.h
+++ b/modules/proxy/target_exchange.h
@@ -39,6 +39,7 @@
 public:
   target_exchange(asio::io_context& aContext,
                   upstream_pool& aPool,
+                  buffer_budget& aBuffers,
                   const fleet_header_names& aNames,
                   std::shared_ptr<const outgoing_request> aRequest,
                   const target_entry& aTarget);
@@ -67,6 +68,7 @@
 
   asio::io_context& mContext;
   upstream_pool& mPool;
+  buffer_budget& mBuffers;
   const fleet_header_names& mNames;
   std::shared_ptr<const outgoing_request> mRequest;
   std::string mTargetId;
@@ -77,8 +79,8 @@
   bool mIsSent = false;
   bool mIsWritten = false;
   bool mIsNewConnection = false;
-  /// An answer to another request came in front.
-  bool mHasForeignAnswer = false;
+  /// Answers to other requests that came in front.
+  int mForeignAnswers = 0;
 };
 
 } // namespace cowslipline
--- a/tests/platform/test_entry_codec.cpp
+++ b/tests/platform/test_entry_codec.cpp
@@ -1,6 +1,11 @@
+#include "core/random.h"
 #include "platform/entry_codec.h"
 #include "tests/story.h"
 
+#include <iterator>
+
+#include <nlohmann/json.hpp>
+
 using namespace cowslipline;
 using namespace std::chrono_literals;
 
@@ -112,3 +117,51 @@
   }
   CHECK_FALSE(DecodeBase64("a*b=").has_value());
 }
+
+// Guards against an entry of another writer, with fields missing or of another
+// type, that ends the process.
+TEST(entry_codec, SurvivesEntriesOfAnotherShape)
+{
+  random_source random(20261204);
+  const std::vector<nlohmann::json> others = { nullptr,
+                                               true,
+                                               -1,
+                                               1e300,
+                                               18446744073709551615ULL,
+                                               "x",
+                                               "",
+                                               "\xff",
+                                               nlohmann::json::array(),
+                                               nlohmann::json::object(),
+                                               { 1, "a", nullptr } };
+  const auto replaceOne = [&](nlohmann::json aDocument) {
+    const auto flat = aDocument.flatten();
+    auto place = flat.begin();
+    std::advance(place, random.Below(flat.size()));
+    nlohmann::json::json_pointer pointer(place.key());
+    for (auto up = random.Below(3); up > 0 && !pointer.empty(); --up) {
+      pointer.pop_back();
+    }
+    aDocument[pointer] = others[random.Below(others.size())];
+    return aDocument.dump(
+      -1, ' ', false, nlohmann::json::error_handler_t::ignore);
+  };
+  const auto configuration = nlohmann::json::parse(kConfiguration);
+  const auto target = nlohmann::json::parse(
+    R"({"service":"old","address":"10.0.0.1:80","zone":"a","version":"1",
+        "slots":6,"state":"ready","cold-remaining-s":0.5,"seq":3})");
+  fleet_member self;
+  self.mName = "i1";
+  self.mAvailabilityZone = "a";
+  const auto member = nlohmann::json::parse(EncodeMember(self));
+  std::size_t refused = 0;
+  for (int i = 0; i < 5'000; ++i) {
+    std::vector<std::string> skipped;
+    const auto text = replaceOne(configuration);
+    refused += DecodeConfiguration(text, skipped) && skipped.size() < 2 ? 0 : 1;
+    refused += DecodeTarget("t1", replaceOne(target)) ? 0 : 1;
+    refused += DecodeMember("i1", replaceOne(member)) ? 0 : 1;
+    DecodeBase64(text.substr(random.Below(text.size())));
+  }
+  CHECK(refused > 0);
+}
--- a/tests/platform/test_store_feed.cpp
+++ b/tests/platform/test_store_feed.cpp
@@ -49,8 +49,9 @@
           if (!head) {
             return;
           }
+          body_lease lease(100'000);
           const auto body =
-            ReadBody(*stream, head->mFraming, 100'000, deadline, aYield);
+            ReadBody(*stream, head->mFraming, lease, deadline, aYield);
           mCalls.push_back(head->mMethod + ' ' + head->mTarget + ' ' +
                            body.value_or(""));
           const auto reply = mHandler(mCalls.back());
--- a/tests/proxy/edge_fixture.cpp
+++ b/tests/proxy/edge_fixture.cpp
@@ -112,8 +112,9 @@
             http_request request;
             request.mHead = *head;
             if (!request.mHead.mHeaders.Find("Answer-Early")) {
+              body_lease lease(1'000'000);
               request.mBody =
-                ReadBody(*stream, head->mFraming, 1'000'000, Soon(), aYield)
+                ReadBody(*stream, head->mFraming, lease, Soon(), aYield)
                   .value_or("");
             }
             if (!*alive) {
@@ -245,7 +246,8 @@
   if (!SendText(stream, text, aYield)) {
     return Fail(errc::InputOutput);
   }
-  return ReadResponse(stream, aMethod == "HEAD", 1'000'000, Soon(), aYield);
+  return ReadResponse(
+    stream, aMethod == "HEAD", body_lease(1'000'000), Soon(), aYield);
 }
 
 } // namespace cowslipline::testing
