--- a/modules/placement/load_balancer.cpp
+++ b/modules/placement/load_balancer.cpp
@@ -116,7 +116,7 @@
     // A failed trial costs little when the request may be retried. A small
     // share of the other requests makes trials too, so that targets of services
     // without repeatable requests also return to use.
-    constexpr double kTrialShare = 0.1;
+    constexpr double kTrialShare = 0.25;
     const bool mayMakeTrial = aRequest.mIsRepeatable
                                 ? aRequest.mTried.empty()
                                 : mRandom.Unit() < kTrialShare;
