--- a/modules/placement/outlier_detector.cpp
+++ b/modules/placement/outlier_detector.cpp
@@ -17,9 +17,9 @@
 // hundred and a faulty one most of them, so one failure is enough to avoid it.
 constexpr duration kFirstAvoidance = 2500ms;
 
-// Each failed trial doubles the avoidance up to this limit. A target that failed
-// by itself counts as sound 2 s later and has to get requests within 2 s more;
-// the rest is left for the trial to reach it.
+// Each failed trial doubles the avoidance up to this limit. A target that
+// failed by itself counts as sound 2 s later and has to get requests within 2 s
+// more; the rest is left for the trial to reach it.
 constexpr duration kLongestAvoidance = 3500ms;
 
 // A target that refuses connections is down until it has restarted, which takes
--- a/tests/core/test_buffer_budget.cpp
+++ b/tests/core/test_buffer_budget.cpp
@@ -32,6 +32,7 @@
   SECTION("nine that grow side by side leave a tenth")
   {
     std::vector<body_lease> greedy;
+    greedy.reserve(9);
     for (int i = 0; i < 9; ++i) {
       greedy.emplace_back(5000, budget);
     }
--- a/tests/proxy/test_malformed_messages.cpp
+++ b/tests/proxy/test_malformed_messages.cpp
@@ -56,6 +56,7 @@
     changes_request{},
     changes_reply{},
   };
+  messages.reserve(payloads.size());
   for (const auto& payload : payloads) {
     messages.push_back(EncodePeerMessage({ "i2", payload }));
   }
