Settings: malformed TOML is an error in every build

Cause: the mutated settings files aborted the sanitized proxy tests: parse_key() of the TOML library asserts on some malformed keys. With NDEBUG the library tells the compiler that this cannot happen, so the release build went on with undefined behaviour; its tests passed by luck.

Change: core/toml.h has its assertions throw in both kinds of build, and ParseTomlText() returns the error; the two places that parsed share it. Test: malformed_messages.DecodersRefuseThem, which failed first in the sanitized build.

--- a/apps/cowslipline-edge/edge_settings.cpp
+++ b/apps/cowslipline-edge/edge_settings.cpp
@@ -1,11 +1,11 @@
 #include "apps/cowslipline-edge/edge_settings.h"
 
+#include "core/toml.h"
+
 #include <fstream>
 #include <optional>
 #include <sstream>
 
-#include <toml++/toml.h>
-
 namespace cowslipline {
 
 namespace {
@@ -85,16 +85,13 @@
 ParseEdgeSettings(std::string_view aText)
 {
   edge_settings settings;
-  toml::table table;
-  try {
-    table = toml::parse(aText);
-  } catch (const toml::parse_error& error) {
-    std::ostringstream text;
-    text << "line " << error.source().begin.line << ": " << error.description();
-    settings.mErrors.push_back(text.str());
+  const auto table = ParseTomlText(aText, "settings");
+  if (!table) {
+    settings.mErrors.push_back("line " + std::to_string(table.error().mLine) +
+                               ": " + table.error().mMessage);
     return settings;
   }
-  settings_reader reader(table, settings.mErrors);
+  settings_reader reader(*table, settings.mErrors);
   auto& proxy = settings.mProxy;
   proxy.mInstance = reader.String("instance");
   proxy.mAvailabilityZone = reader.String("availability_zone");
--- a/modules/configuration/table_reader.cpp
+++ b/modules/configuration/table_reader.cpp
@@ -110,16 +110,16 @@
 std::optional<toml::table>
 ParseToml(const text_file& aFile, diagnostics& aDiagnostics)
 {
-  try {
-    return toml::parse(aFile.mText, aFile.mName);
-  } catch (const toml::parse_error& error) {
+  auto table = ParseTomlText(aFile.mText, aFile.mName);
+  if (!table) {
     aDiagnostics.push_back({ aFile.mName,
-                             error.source().begin.line,
+                             table.error().mLine,
                              "",
-                             std::string(error.description()),
+                             table.error().mMessage,
                              "the file must be valid TOML" });
     return std::nullopt;
   }
+  return std::move(*table);
 }
 
 table_reader::table_reader(const toml::table& aTable,
--- a/modules/configuration/table_reader.h
+++ b/modules/configuration/table_reader.h
@@ -1,15 +1,11 @@
 #pragma once
 
+#include "core/toml.h"
 #include "modules/configuration/diagnostic.h"
 #include "modules/configuration/schema.h"
 
 #include <optional>
 
-#ifndef TOML_ENABLE_FORMATTERS
-#define TOML_ENABLE_FORMATTERS 0
-#endif
-#include <toml++/toml.h>
-
 namespace cowslipline {
 
 /// Parses TOML text. A syntax error becomes one diagnostic, because the
