--- a/apps/cowslipline-edge/edge_settings.cpp
+++ b/apps/cowslipline-edge/edge_settings.cpp
@@ -87,8 +87,10 @@
   edge_settings settings;
   const auto table = ParseTomlText(aText, "settings");
   if (!table) {
-    settings.mErrors.push_back("line " + std::to_string(table.error().mLine) +
-                               ": " + table.error().mMessage);
+    const auto line = table.error().mLine;
+    settings.mErrors.push_back(
+      (line > 0 ? "line " + std::to_string(line) + ": " : std::string()) +
+      table.error().mMessage);
     return settings;
   }
   settings_reader reader(*table, settings.mErrors);
--- a/tests/proxy/test_malformed_messages.cpp
+++ b/tests/proxy/test_malformed_messages.cpp
@@ -112,6 +112,10 @@
       "[store]\naddress = \"127.0.0.1:5\"\n"
       "[bounds]\nfloor_share = 0.7\ngrace_seconds = 6\n";
     CHECK(ParseEdgeSettings(valid).mErrors.empty());
+    // Keys on which the parser's assertions fail.
+    for (const auto* text : { "[.a]", "[=]", "[#]", "[[[a]]]", "[\x01]" }) {
+      LONGS_EQUAL(1, ParseEdgeSettings(text).mErrors.size());
+    }
     for (int i = 0; i < 3'000; ++i) {
       accepted += ParseEdgeSettings(Mutate(valid, random)).mErrors.empty();
     }
