--- a/modules/proxy/request_handler.cpp
+++ b/modules/proxy/request_handler.cpp
@@ -437,6 +437,13 @@
       } else if (finished.mResponse) {
         services.mCrashes.OnAnswer(fingerprint);
       }
+      if (!finished.mRateLimit.empty()) {
+        services.mMetrics.Counter("cowslipline_limited_answers_total").Add();
+        Log(log_level::Info,
+            "target_named_limit",
+            { { "target", started->mTarget },
+              { "limit", finished.mRateLimit } });
+      }
       started->mResult = std::move(finished);
       progress->mChanged.Set();
     },
--- a/modules/proxy/target_exchange.cpp
+++ b/modules/proxy/target_exchange.cpp
@@ -109,6 +109,7 @@
     return Fail(exchange_outcome::Unreachable, false, "nothing_sent");
   }
   auto finished = ReadAnswer(aDeadline, aYield);
+  finished.mRateLimit = mRateLimit;
   if (finished.mOutcome == exchange_outcome::Broken) {
     finished.mIsTargetDown = IsTargetDown(aYield);
   }
@@ -201,6 +202,8 @@
       mStream->Close();
       return Fail(exchange_outcome::Broken, true, "foreign_answer");
     }
+    mRateLimit = std::string(
+      response->mHead.mHeaders.Find(mNames.mRateLimit).value_or(""));
     return Judge(std::move(*response));
   }
 }
--- a/modules/routing/fleet_header_names.h
+++ b/modules/routing/fleet_header_names.h
@@ -15,6 +15,8 @@
   std::string mExpectedTarget; ///< Other targets must not run the request.
   std::string mNotRun;    ///< Response: the target did not run the request.
   std::string mSignature; ///< Response: proves that the target succeeded.
+  /// Response: requests/s that the target accepts from the whole fleet.
+  std::string mRateLimit;
 };
 
 } // namespace cowslipline
--- a/tests/proxy/edge_fixture.cpp
+++ b/tests/proxy/edge_fixture.cpp
@@ -35,6 +35,7 @@
   names.mExpectedTarget = "Expected-Target";
   names.mNotRun = "Not-Run";
   names.mSignature = "Signature";
+  names.mRateLimit = "Rate-Limit";
   return names;
 }
 
