Known red: three instances exceed the rate that a target names

The test sends 120 requests through three instances to two targets, one of which names 2 requests/s.

--- a/tests/proxy/edge_fixture.cpp
+++ b/tests/proxy/edge_fixture.cpp
@@ -1,5 +1,6 @@
 #include "tests/proxy/edge_fixture.h"
 
+#include "core/hash.h"
 #include "tests/story.h"
 
 namespace cowslipline::testing {
@@ -224,16 +225,41 @@
   mScheduler.SleepFor(aTime, aYield);
 }
 
+proxy_instance&
+edge_fixture::AddInstance(const std::string& aName)
+{
+  auto settings = mSettings;
+  settings.mInstance = aName;
+  auto created = proxy_instance::Create(
+    mScheduler, settings, TestHeaders(), mFeed, Hash64(aName));
+  CHECK(created.has_value());
+  mOtherInstances.push_back(std::move(*created));
+  mOtherInstances.back()->Start();
+  Run([this](yield_context aYield) { Sleep(150ms, aYield); });
+  return *mOtherInstances.back();
+}
+
 result<http_response>
 edge_fixture::Call(const std::string& aMethod,
                    const std::string& aPath,
                    yield_context aYield,
                    const std::string& aHeaders,
                    const std::string& aBody)
+{
+  return CallAt(*mInstance, aMethod, aPath, aYield, aHeaders, aBody);
+}
+
+result<http_response>
+edge_fixture::CallAt(const proxy_instance& aInstance,
+                     const std::string& aMethod,
+                     const std::string& aPath,
+                     yield_context aYield,
+                     const std::string& aHeaders,
+                     const std::string& aBody)
 {
   tcp_stream stream(mContext);
   const auto connected =
-    stream.Connect(mInstance->CallersAddress(), Soon(), aYield);
+    stream.Connect(aInstance.CallersAddress(), Soon(), aYield);
   if (!connected) {
     return Fail(connected.error());
   }
--- a/tests/proxy/edge_fixture.h
+++ b/tests/proxy/edge_fixture.h
@@ -60,6 +60,9 @@
                              const std::string& aService,
                              scripted_target::script aScript);
 
+  /// One more instance of the fleet, in the zone of the first.
+  proxy_instance& AddInstance(const std::string& aName);
+
   /// Runs the function as a task until it returns; fails the test after 20 s.
   void Run(const std::function<void(yield_context)>& aTask);
   void Sleep(duration aTime, yield_context aYield);
@@ -70,6 +73,13 @@
                              yield_context aYield,
                              const std::string& aHeaders = "Key: key-1\r\n",
                              const std::string& aBody = {});
+  /// The same at one of the instances.
+  result<http_response> CallAt(const proxy_instance& aInstance,
+                               const std::string& aMethod,
+                               const std::string& aPath,
+                               yield_context aYield,
+                               const std::string& aHeaders = "Key: key-1\r\n",
+                               const std::string& aBody = {});
 
   fleet_configuration Configuration(std::uint64_t aVersion) const;
 
@@ -79,6 +89,7 @@
   proxy_settings mSettings;
   std::vector<std::unique_ptr<scripted_target>> mTargets;
   std::unique_ptr<proxy_instance> mInstance;
+  std::vector<std::unique_ptr<proxy_instance>> mOtherInstances;
   int mNextRequest = 1;
 };
 
--- /dev/null
+++ b/tests/proxy/test_limited_targets.cpp
@@ -0,0 +1,90 @@
+#include "tests/proxy/edge_fixture.h"
+#include "tests/story.h"
+
+#include <algorithm>
+
+#include <asio/write.hpp>
+
+using namespace cowslipline;
+using namespace cowslipline::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A target that names the limit in its answers and notes when requests came.
+class limited_target
+{
+public:
+  limited_target(edge_fixture& aFixture,
+                 const std::string& aId,
+                 std::string aLimit)
+    : mLimit(std::move(aLimit))
+  {
+    aFixture.AddTarget(
+      aId,
+      "catalogue",
+      [this](const http_request& aRequest, tcp_stream& aStream, yield_context) {
+        mArrivals.push_back(ReadBootClock());
+        auto answer = GoodAnswer(aRequest, "tank");
+        if (!mLimit.empty()) {
+          answer.insert(answer.find("Request:"),
+                        "Rate-Limit: " + mLimit + "\r\n");
+        }
+        asio::error_code error;
+        asio::write(aStream.Socket(), asio::buffer(answer), error);
+        return !error;
+      });
+  }
+
+  /// The most requests within 4 s.
+  std::size_t MostInWindow() const
+  {
+    std::size_t most = 0;
+    for (auto first = mArrivals.begin(); first != mArrivals.end(); ++first) {
+      const auto last =
+        std::find_if(first, mArrivals.end(), [&](steady_time aAt) {
+          return aAt - *first >= 4s;
+        });
+      most = std::max(most, static_cast<std::size_t>(last - first));
+    }
+    return most;
+  }
+
+  std::string mLimit;
+  std::vector<steady_time> mArrivals;
+};
+
+} // namespace
+
+TEST_GROUP(limited_targets){};
+
+// Guards against a target that gets more from all instances together than the
+// rate that it names.
+TEST(limited_targets, TheFleetKeepsTheRateThatATargetNames)
+{
+  edge_fixture fixture;
+  const std::vector<proxy_instance*> fleet = { fixture.mInstance.get(),
+                                               &fixture.AddInstance("i2"),
+                                               &fixture.AddInstance("i3") };
+  limited_target limited(fixture, "t1", "2");
+  const limited_target other(fixture, "t2", "");
+  int served = 0;
+  fixture.Run([&](yield_context aYield) {
+    for (int i = 0; i < 120; ++i) {
+      const auto response = fixture.CallAt(
+        *fleet[static_cast<std::size_t>(i) % 3], "GET", "/specs/1", aYield);
+      served += response && response->mHead.mStatus == 200 ? 1 : 0;
+      fixture.Sleep(5ms, aYield);
+    }
+  });
+  SECTION("at most one and a half times the rate and 5 requests in 4 s")
+  {
+    CHECK(limited.MostInWindow() <= 17);
+    CHECK(limited.MostInWindow() >= 2);
+  }
+  SECTION("the other target takes the rest")
+  {
+    LONGS_EQUAL(120, served);
+    CHECK(other.mArrivals.size() >= 90);
+  }
+}
