Placement: owners grant permits for sends to a target that limits its rate

Cause: each instance decided alone where to send, and a limit of the fleet had no owner. Ruled out by the line target_named_limit: that it is known in parts of the fleet, or that only repeats are missed.

A limit is now known to the fleet from the first answer that names it (one datagram to the zone, one to each other zone, asked for at the start). Each send to such a target, whatever it is for, takes a permit of the target's owner, named by rendezvous hashing as for quotas. An owner that may not be the only one grants half of the rate, so that two stay below one and a half times it; without an owner nothing is sent. Refused requests go to targets without a limit by load, or are refused at once with the time until a permit; more urgent requests go first. Two answers to later requests end a limit.

--- a/modules/explain/cause_description.cpp
+++ b/modules/explain/cause_description.cpp
@@ -37,6 +37,10 @@
     { "no_target",
       { "Every ready target had already been tried, or none was ready.",
         "Start targets of the service." } },
+    { "targets_limited",
+      { "The targets limit the rate of requests, and it is used up by requests "
+        "that are more urgent or came first.",
+        "Find out why the targets name a limit, or add targets." } },
     { "targets_full",
       { "Every target had recently refused a request as overloaded.",
         "Add targets." } },
--- /dev/null
+++ b/modules/placement/target_rate_limits.cpp
@@ -0,0 +1,217 @@
+#include "modules/placement/target_rate_limits.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace cowslipline {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Answers without a limit that end it. One alone may come from a target that
+// names its limit in some answers only.
+constexpr int kAnswersToLift = 2;
+
+// A changed rate is told to the other instances if it differs by more than this
+// fraction, and not more often than the interval: a target may name another
+// rate in each answer.
+constexpr double kToldDifference = 0.1;
+constexpr duration kTellInterval = 500ms;
+
+// A refused instance asks again after this time at the latest, because other
+// instances may have no requests for the permits.
+constexpr duration kMaxBlock = 500ms;
+
+constexpr duration kRecordLifetime = 60s;
+
+// Requests/s. No target serves more; a larger value is no limit.
+constexpr double kMaxRate = 1e6;
+
+} // namespace
+
+limit_signal
+ReadLimitSignal(const std::vector<std::string_view>& aValues)
+{
+  limit_signal signal;
+  signal.mIsClear = aValues.empty();
+  for (const auto value : aValues) {
+    double rate = 0;
+    const auto* end = value.data() + value.size();
+    const auto parsed = std::from_chars(value.data(), end, rate);
+    const bool isRate = parsed.ec == std::errc() && parsed.ptr == end &&
+                        std::isfinite(rate) && !std::signbit(rate);
+    if (isRate) {
+      signal.mRate = std::min({ rate, kMaxRate, signal.mRate.value_or(rate) });
+    }
+  }
+  return signal;
+}
+
+limit_change
+target_rate_limits::OnAnswer(const target_run& aTarget,
+                             std::optional<double> aRate,
+                             steady_time aSentAt,
+                             steady_time aNow)
+{
+  return aRate ? OnNamed(aTarget, *aRate, aNow, aNow)
+               : OnCleared(aTarget, aSentAt);
+}
+
+limit_change
+target_rate_limits::OnReport(const target_limit_state& aReport,
+                             steady_time aNow)
+{
+  const target_run target{ aReport.mTarget, aReport.mStartedAtMs };
+  const auto at = aNow - aReport.mAge;
+  return aReport.mRate ? OnNamed(target, *aReport.mRate, at, aNow)
+                       : OnCleared(target, at);
+}
+
+limit_change
+target_rate_limits::OnNamed(const target_run& aTarget,
+                            double aRate,
+                            steady_time aNamedAt,
+                            steady_time aNow)
+{
+  const auto inserted = mRecords.try_emplace(std::string(aTarget.mId));
+  auto& known = inserted.first->second;
+  const bool isNew =
+    inserted.second || known.mStartedAtMs < aTarget.mStartedAtMs;
+  if (isNew) {
+    known = { aTarget.mStartedAtMs, aRate, aNamedAt, aNow, aNow, 0, {} };
+    return limit_change::Limited;
+  }
+  if (known.mStartedAtMs > aTarget.mStartedAtMs || aNamedAt < known.mNamedAt) {
+    return limit_change::None;
+  }
+  const bool isChanged =
+    std::abs(aRate - known.mRate) > kToldDifference * known.mRate;
+  const bool isTold = known.mClearAnswers > 0 ||
+                      (isChanged && aNow - known.mToldAt >= kTellInterval);
+  known.mRate = aRate;
+  known.mNamedAt = aNamedAt;
+  known.mHeardAt = aNow;
+  known.mClearAnswers = 0;
+  if (!isTold) {
+    return limit_change::None;
+  }
+  known.mToldAt = aNow;
+  return limit_change::Limited;
+}
+
+limit_change
+target_rate_limits::OnCleared(const target_run& aTarget, steady_time aSentAt)
+{
+  const auto found = mRecords.find(aTarget.mId);
+  if (found == mRecords.end()) {
+    return limit_change::None;
+  }
+  auto& known = found->second;
+  if (known.mStartedAtMs < aTarget.mStartedAtMs) {
+    mRecords.erase(found);
+    return limit_change::Lifted;
+  }
+  if (known.mStartedAtMs > aTarget.mStartedAtMs || aSentAt <= known.mNamedAt) {
+    return limit_change::None;
+  }
+  if (++known.mClearAnswers < kAnswersToLift) {
+    return limit_change::Cleared;
+  }
+  mRecords.erase(found);
+  return limit_change::Lifted;
+}
+
+const target_rate_limits::record*
+target_rate_limits::Find(const target_run& aTarget) const
+{
+  const auto found = mRecords.find(aTarget.mId);
+  return found != mRecords.end() &&
+             found->second.mStartedAtMs == aTarget.mStartedAtMs
+           ? &found->second
+           : nullptr;
+}
+
+std::optional<double>
+target_rate_limits::RateOf(const target_run& aTarget) const
+{
+  const auto* known = Find(aTarget);
+  return known == nullptr ? std::nullopt : std::optional<double>(known->mRate);
+}
+
+void
+target_rate_limits::OnOwnerReply(const target_run& aTarget, steady_time aNow)
+{
+  const auto found = mRecords.find(aTarget.mId);
+  if (found != mRecords.end()) {
+    found->second.mHeardAt = aNow;
+  }
+}
+
+void
+target_rate_limits::OnRefused(const target_run& aTarget,
+                              int aPriority,
+                              duration aRetryAfter,
+                              steady_time aNow)
+{
+  const auto found = mRecords.find(aTarget.mId);
+  if (found != mRecords.end()) {
+    found->second.mRefusals[aPriority] = {
+      aNow + std::min(aRetryAfter, kMaxBlock), aNow + aRetryAfter
+    };
+  }
+}
+
+bool
+target_rate_limits::IsBlocked(const target_run& aTarget,
+                              int aPriority,
+                              steady_time aNow) const
+{
+  const auto* known = Find(aTarget);
+  return known != nullptr &&
+         std::any_of(known->mRefusals.begin(),
+                     known->mRefusals.upper_bound(aPriority),
+                     [&](const auto& aEntry) {
+                       return aNow < aEntry.second.mBlockedUntil;
+                     });
+}
+
+duration
+target_rate_limits::TimeToPermit(const target_run& aTarget,
+                                 int aPriority,
+                                 steady_time aNow) const
+{
+  duration longest{ 0 };
+  if (const auto* known = Find(aTarget)) {
+    const auto end = known->mRefusals.upper_bound(aPriority);
+    for (auto entry = known->mRefusals.begin(); entry != end; ++entry) {
+      longest =
+        std::max(longest, duration(entry->second.mPermitExpectedAt - aNow));
+    }
+  }
+  return longest;
+}
+
+std::vector<target_limit_state>
+target_rate_limits::States(steady_time aNow) const
+{
+  std::vector<target_limit_state> states;
+  states.reserve(mRecords.size());
+  for (const auto& [id, known] : mRecords) {
+    states.push_back(
+      { id, known.mStartedAtMs, known.mRate, aNow - known.mNamedAt });
+  }
+  return states;
+}
+
+void
+target_rate_limits::Prune(steady_time aNow)
+{
+  for (auto entry = mRecords.begin(); entry != mRecords.end();) {
+    const bool isOld = aNow - entry->second.mHeardAt > kRecordLifetime;
+    entry = isOld ? mRecords.erase(entry) : std::next(entry);
+  }
+}
+
+} // namespace cowslipline
--- a/modules/proxy/fleet_evidence.cpp
+++ b/modules/proxy/fleet_evidence.cpp
@@ -30,6 +30,10 @@
   {
     aReport.mShouldRelay = mShouldRelay;
   }
+  void operator()(target_limit_report& aReport) const
+  {
+    aReport.mShouldRelay = mShouldRelay;
+  }
   template<typename Other>
   void operator()(Other&) const
   {
@@ -44,6 +48,7 @@
                                outlier_detector& aEvidence,
                                load_balancer& aChooser,
                                poison_request_detector& aCrashes,
+                               target_rate_limits& aLimits,
                                metrics& aMetrics)
   : mScheduler(aScheduler)
   , mMembers(aMembers)
@@ -51,6 +56,7 @@
   , mEvidence(aEvidence)
   , mChooser(aChooser)
   , mCrashes(aCrashes)
+  , mLimits(aLimits)
   , mMetrics(aMetrics)
 {
 }
@@ -149,6 +155,98 @@
   }
 }
 
+void
+fleet_evidence::LogLimit(const target_limit_report& aReport,
+                         limit_change aChange,
+                         const std::string& aSeenBy)
+{
+  if (aChange == limit_change::Limited) {
+    mMetrics.Counter("cowslipline_target_limits_named_total").Add();
+    Log(log_level::Info,
+        "target_limited",
+        { { "target", aReport.mTarget },
+          { "rate", std::to_string(aReport.mRate) },
+          { "seen_by", aSeenBy } });
+  } else if (aChange == limit_change::Lifted) {
+    mMetrics.Counter("cowslipline_target_limits_lifted_total").Add();
+    Log(log_level::Info,
+        "target_limit_lifted",
+        { { "target", aReport.mTarget }, { "seen_by", aSeenBy } });
+  }
+}
+
+void
+fleet_evidence::OnLimitSignal(const target_run& aTarget,
+                              const limit_signal& aSignal,
+                              steady_time aSentAt)
+{
+  if (!aSignal.mRate && !aSignal.mIsClear) {
+    return;
+  }
+  const auto now = mScheduler.Now();
+  const auto change = mLimits.OnAnswer(aTarget, aSignal.mRate, aSentAt, now);
+  if (change == limit_change::None) {
+    return;
+  }
+  target_limit_report report;
+  report.mTarget = std::string(aTarget.mId);
+  report.mStartedAtMs = aTarget.mStartedAtMs;
+  report.mIsNamed = aSignal.mRate.has_value();
+  report.mRate = aSignal.mRate.value_or(0);
+  report.mAgeMs =
+    report.mIsNamed ? 0 : static_cast<std::uint32_t>((now - aSentAt) / 1ms);
+  LogLimit(report, change, mMembers.Self().mName);
+  Spread(report, true);
+}
+
+void
+fleet_evidence::OnReport(const std::string& aSender,
+                         const target_limit_report& aReport)
+{
+  const auto rate =
+    aReport.mIsNamed ? std::optional<double>(aReport.mRate) : std::nullopt;
+  const auto change =
+    mLimits.OnReport({ aReport.mTarget,
+                       aReport.mStartedAtMs,
+                       rate,
+                       std::chrono::milliseconds(aReport.mAgeMs) },
+                     mScheduler.Now());
+  LogLimit(aReport, change, aSender);
+  if (aReport.mShouldRelay && change != limit_change::None) {
+    Spread(aReport, false);
+  }
+}
+
+void
+fleet_evidence::RequestLimits()
+{
+  const auto now = mScheduler.Now();
+  auto peers = mMembers.ZonePeers(now);
+  if (peers.empty()) {
+    peers = mMembers.OtherZoneRelays(++mTurn, now);
+  }
+  // Two, since one may be about to leave or the datagram lost.
+  for (std::size_t i = 0; i < std::min<std::size_t>(2, peers.size()); ++i) {
+    const auto index = (mTurn + i) % peers.size();
+    mLink.Send(target_limits_request{ ++mTurn }, peers[index]->mAddress);
+  }
+}
+
+void
+fleet_evidence::SendLimits(const udp_endpoint& aTo)
+{
+  for (const auto& state : mLimits.States(mScheduler.Now())) {
+    mLink.Send(
+      target_limit_report{ state.mTarget,
+                           state.mStartedAtMs,
+                           true,
+                           state.mRate.value_or(0),
+                           static_cast<std::uint32_t>(state.mAge / 1ms),
+                           false },
+      aTo);
+  }
+}
+
 void
 fleet_evidence::ShareLoad()
 {
--- a/modules/proxy/fleet_evidence.h
+++ b/modules/proxy/fleet_evidence.h
@@ -19,16 +19,27 @@
                  outlier_detector& aEvidence,
                  load_balancer& aChooser,
                  poison_request_detector& aCrashes,
+                 target_rate_limits& aLimits,
                  metrics& aMetrics);
 
   /// An outcome of this instance.
   void OnOutcome(const std::string& aTarget, exchange_outcome aOutcome);
   void OnCrash(request_fingerprint aRequest, const std::string& aTarget);
+  /// An answer to a request that was sent at aSentAt.
+  void OnLimitSignal(const target_run& aTarget,
+                     const limit_signal& aSignal,
+                     steady_time aSentAt);
 
   /// A message of another instance.
   void OnReport(const std::string& aSender, const target_report& aReport);
   void OnReport(const crash_report& aReport);
   void OnReport(const std::string& aSender, const load_report& aReport);
+  void OnReport(const std::string& aSender, const target_limit_report& aReport);
+
+  /// Asks other instances for the limits of targets, once at the start.
+  void RequestLimits();
+  /// Sends all known limits to an instance that has started.
+  void SendLimits(const udp_endpoint& aTo);
 
   /// Tells the zone which targets this instance's requests are at, when that
   /// has changed or was not told for a second.
@@ -45,6 +56,9 @@
                exchange_outcome aOutcome,
                const std::string& aSeenBy);
   void Spread(peer_payload aPayload, bool aIsToRelay);
+  void LogLimit(const target_limit_report& aReport,
+                limit_change aChange,
+                const std::string& aSeenBy);
 
   scheduler& mScheduler;
   member_table& mMembers;
@@ -52,6 +66,7 @@
   outlier_detector& mEvidence;
   load_balancer& mChooser;
   poison_request_detector& mCrashes;
+  target_rate_limits& mLimits;
   metrics& mMetrics;
   std::uint64_t mTurn = 0; ///< Spreads the relays over the other zones.
   /// What it lists and the next report lacks is sent as zero.
--- a/modules/proxy/proxy_instance.cpp
+++ b/modules/proxy/proxy_instance.cpp
@@ -23,6 +23,7 @@
 constexpr duration kExitMargin = 300ms;
 
 constexpr duration kDrainPoll = 20ms;
+constexpr duration kReadyPoll = 50ms;
 
 } // namespace
 
@@ -80,14 +81,16 @@
              mEvidence,
              mChooser,
              mCrashes,
+             mLimits,
              mMetrics)
   , mServices{ aScheduler, aScheduler.Context(),
                mSettings,  std::move(aNames),
                mView,      mEvidence,
                mChooser,   mCrashes,
-               mOwners,    mReports,
-               mPool,      mMetrics,
-               mRandom,    mBuffers }
+               mLimits,    mOwners,
+               mReports,   mPool,
+               mMetrics,   mRandom,
+               mBuffers }
   , mZone(aScheduler, mView.mMembers, *mLink, mRandom.Next() >> 1)
   , mSync(aScheduler,
           aFeed,
@@ -118,6 +121,8 @@
   mScheduler.Spawn([this](yield_context aYield) { mRegistration.Run(aYield); });
   mScheduler.Spawn([this](yield_context aYield) { RunHousekeeping(aYield); });
   mScheduler.Spawn([this](yield_context aYield) { RunLoadReports(aYield); });
+  mScheduler.Spawn(
+    [this](yield_context aYield) { RequestLimitsOnceReady(aYield); });
 }
 
 quota_limit
@@ -213,6 +218,18 @@
     {
       mInstance.mOwners.OnPeerRequest(aQuestion, mFrom);
     }
+    void operator()(const target_limit_report& aReport) const
+    {
+      mInstance.mReports.OnReport(mMessage.mSender, aReport);
+    }
+    void operator()(const target_limits_request&) const
+    {
+      mInstance.mReports.SendLimits(mFrom);
+    }
+    void operator()(const send_permit_request& aQuestion) const
+    {
+      mInstance.mOwners.OnPeerRequest(aQuestion, mFrom);
+    }
     void operator()(const changes_request& aQuestion) const
     {
       mInstance.mLink->Send(mInstance.mSync.Answer(aQuestion), mFrom);
@@ -241,10 +258,20 @@
     mEvidence.Prune(now);
     mChooser.Prune(now);
     mCrashes.Prune(now);
+    mLimits.Prune(now);
     mOwners.Prune();
   }
 }
 
+void
+proxy_instance::RequestLimitsOnceReady(yield_context aYield)
+{
+  while (!mIsStopped && !mView.mIsComplete) {
+    mScheduler.SleepFor(kReadyPoll, aYield);
+  }
+  mReports.RequestLimits();
+}
+
 void
 proxy_instance::RunLoadReports(yield_context aYield)
 {
@@ -270,6 +297,7 @@
     { "cowslipline_ready", mServices.IsReady() ? 1.0 : 0.0 },
     { "cowslipline_members", static_cast<double>(mView.mMembers.Count(now)) },
     { "cowslipline_targets", static_cast<double>(mView.mTargets.All().size()) },
+    { "cowslipline_targets_limited", static_cast<double>(mLimits.Size()) },
     { "cowslipline_requests_in_flight",
       static_cast<double>(mServices.mRequestsInFlight) },
     { "cowslipline_caller_connections",
--- a/modules/proxy/proxy_instance.h
+++ b/modules/proxy/proxy_instance.h
@@ -54,6 +54,7 @@
   quota_limit LimitOf(std::string_view aOrganisation) const;
   void RunHousekeeping(yield_context aYield);
   void RunLoadReports(yield_context aYield);
+  void RequestLimitsOnceReady(yield_context aYield);
   std::string RenderGauges() const;
 
   scheduler& mScheduler;
@@ -66,6 +67,7 @@
   outlier_detector mEvidence;
   load_balancer mChooser;
   poison_request_detector mCrashes;
+  target_rate_limits mLimits;
   owner_client mOwners;
   fleet_evidence mReports;
   upstream_pool mPool;
--- a/modules/proxy/proxy_services.h
+++ b/modules/proxy/proxy_services.h
@@ -30,6 +30,7 @@
   outlier_detector& mEvidence;
   load_balancer& mChooser;
   poison_request_detector& mCrashes;
+  target_rate_limits& mLimits;
   owner_client& mOwners;
   fleet_evidence& mReports;
   upstream_pool& mPool;
--- a/modules/proxy/refusal_cause.cpp
+++ b/modules/proxy/refusal_cause.cpp
@@ -24,6 +24,8 @@
       return "no_target";
     case refusal_cause::TargetsFull:
       return "targets_full";
+    case refusal_cause::TargetsLimited:
+      return "targets_limited";
     case refusal_cause::AttemptsUsed:
       return "attempts_used";
     case refusal_cause::RetryBudgetSpent:
--- a/modules/proxy/refusal_cause.h
+++ b/modules/proxy/refusal_cause.h
@@ -15,6 +15,7 @@
   OverQuota,
   NoTarget,
   TargetsFull,
+  TargetsLimited,
   AttemptsUsed,
   RetryBudgetSpent,
   CrashesTargets,
--- a/modules/proxy/request_handler.cpp
+++ b/modules/proxy/request_handler.cpp
@@ -3,6 +3,7 @@
 #include "core/hash.h"
 #include "core/log.h"
 #include "modules/proxy/end_to_end_headers.h"
+#include "modules/proxy/target_selection.h"
 
 #include <algorithm>
 #include <charconv>
@@ -241,7 +242,7 @@
   mTargetRequest->mRequestId = mRequestId;
   mServices.mOwners.OnRequest(mService);
 
-  auto cause = StartAttempt(aYield);
+  auto cause = StartAttempt(aYield, false);
   if (cause != refusal_cause::None) {
     return GiveUp(cause);
   }
@@ -275,7 +276,7 @@
       if (mMayHaveRun && mRoute->mRepeat != repeat_rule::Idempotent) {
         return GiveUp(refusal_cause::OutcomeUnknown);
       }
-      cause = StartAttempt(aYield);
+      cause = StartAttempt(aYield, false);
       if (cause != refusal_cause::None) {
         return GiveUp(cause);
       }
@@ -286,11 +287,19 @@
     if (isHedgeDue) {
       isHedged = true;
       // Without a second target the first one is waited for.
-      StartAttempt(aYield);
+      StartAttempt(aYield, true);
     }
   }
 }
 
+int
+request_handler::Priority() const
+{
+  return mOrganisation != nullptr && mOrganisation->mPriority
+           ? *mOrganisation->mPriority
+           : mRoute->mPriority;
+}
+
 bool
 request_handler::MayRepeat() const
 {
@@ -346,16 +355,23 @@
 }
 
 refusal_cause
-request_handler::StartAttempt(yield_context aYield)
+request_handler::StartAttempt(yield_context aYield, bool aIsHedge)
 {
   if (mArrivals >= mRoute->mAttempts || mTried.size() >= kMostTried) {
     return refusal_cause::AttemptsUsed;
   }
-  // The first arrival of a request is free; every further one counts. Asked
-  // for first: all that follows is decided at the moment of sending.
+  // The first arrival of a request is free; every further one counts. What
+  // waits for a reply comes first: the rest is decided when the request is
+  // sent.
   if (mArrivals > 0 && !mServices.mOwners.TakeRetry(mService, aYield)) {
     return refusal_cause::RetryBudgetSpent;
   }
+  send_request send;
+  send.mService = mService;
+  send.mPlacement = { mRoute->mRepeat == repeat_rule::Idempotent, mTried };
+  send.mPriority = Priority();
+  send.mIsHedge = aIsHedge;
+  const auto selection = SelectTarget(mServices, send, aYield);
   if (mIsCallerGone) {
     return refusal_cause::CallerGone;
   }
@@ -367,27 +383,11 @@
   if (mServices.mCrashes.IsBlocked(mFingerprint, now)) {
     return refusal_cause::CrashesTargets;
   }
-  const auto ready = mServices.mView.mTargets.Ready(mService);
-  std::vector<placement_candidate> candidates;
-  candidates.reserve(ready.size());
-  for (const auto* entry : ready) {
-    candidates.push_back({ entry->mId,
-                           entry->mAvailabilityZone,
-                           entry->mSlots,
-                           entry->mColdRemaining > duration(0) });
-  }
-  if (load_balancer::AreAllFull(candidates, mServices.mEvidence, now)) {
-    return refusal_cause::TargetsFull;
-  }
-  placement_request request;
-  request.mIsRepeatable = mRoute->mRepeat == repeat_rule::Idempotent;
-  request.mTried = mTried;
-  const auto chosen =
-    mServices.mChooser.Choose(candidates, request, mServices.mEvidence, now);
-  if (!chosen) {
-    return refusal_cause::NoTarget;
-  }
-  const auto& target = *ready[*chosen];
+  if (!selection.mTarget) {
+    mTimeToPermit = selection.mTimeToPermit;
+    return selection.mCause;
+  }
+  const auto& target = *selection.mTarget;
   const auto started = std::make_shared<attempt>();
   started->mTarget = target.mId;
   started->mStartedAt = now;
@@ -415,6 +415,7 @@
     [&services = mServices,
      started,
      progress = mProgress,
+     startedAtMs = target.mStartedAtMs,
      fingerprint = mFingerprint,
      deadline = mDeadline](yield_context aYield) {
       auto finished = started->mExchange->Run(deadline, aYield);
@@ -437,13 +438,9 @@
       } else if (finished.mResponse) {
         services.mCrashes.OnAnswer(fingerprint);
       }
-      if (!finished.mRateLimit.empty()) {
-        services.mMetrics.Counter("cowslipline_limited_answers_total").Add();
-        Log(log_level::Info,
-            "target_named_limit",
-            { { "target", started->mTarget },
-              { "limit", finished.mRateLimit } });
-      }
+      services.mReports.OnLimitSignal({ started->mTarget, startedAtMs },
+                                      finished.mLimit,
+                                      started->mStartedAt);
       started->mResult = std::move(finished);
       progress->mChanged.Set();
     },
@@ -509,7 +506,13 @@
     kShortestReturn +
     duration(static_cast<duration::rep>(mServices.mRandom.Unit() *
                                         static_cast<double>(span.count())));
-  return Refuse(503, aCause, spread);
+  // The owner has spread the callers that it refused; those that this instance
+  // refused without asking come in between.
+  return Refuse(503,
+                aCause,
+                aCause == refusal_cause::TargetsLimited
+                  ? std::max(spread, mTimeToPermit)
+                  : spread);
 }
 
 proxy_answer
--- a/modules/proxy/request_handler.h
+++ b/modules/proxy/request_handler.h
@@ -56,9 +56,12 @@
   std::optional<proxy_answer> Exchange(yield_context aYield);
   std::optional<proxy_answer> Judge(attempt& aAttempt);
 
-  /// Sends the request to one more target. The cause when it cannot.
-  refusal_cause StartAttempt(yield_context aYield);
+  /// Sends the request to one more target. The cause when it cannot. aIsHedge:
+  /// another send is open.
+  refusal_cause StartAttempt(yield_context aYield, bool aIsHedge);
   void FinishAttempt(const std::shared_ptr<attempt>& aAttempt);
+  /// 0 is the most urgent.
+  int Priority() const;
   bool MayRepeat() const;
   bool HasOpenAttempt() const;
   void MarkOverdue();
@@ -88,6 +91,8 @@
   std::uint32_t mArrivals = 0; ///< Sends that reached a target.
   bool mMayHaveRun = false;
   bool mIsCallerGone = false;
+  /// When a target that limits its rate is expected to take the request.
+  duration mTimeToPermit{ 0 };
   /// A target's own failure, handed on when no repeat succeeds.
   std::optional<http_response> mTargetFailure;
   const char* mQuotaSource = "none";
--- a/modules/proxy/target_exchange.cpp
+++ b/modules/proxy/target_exchange.cpp
@@ -109,7 +109,10 @@
     return Fail(exchange_outcome::Unreachable, false, "nothing_sent");
   }
   auto finished = ReadAnswer(aDeadline, aYield);
-  finished.mRateLimit = mRateLimit;
+  finished.mLimit = mLimit;
+  // A refusal or failure need not come from where the limit is set.
+  finished.mLimit.mIsClear =
+    mLimit.mIsClear && finished.mOutcome == exchange_outcome::Served;
   if (finished.mOutcome == exchange_outcome::Broken) {
     finished.mIsTargetDown = IsTargetDown(aYield);
   }
@@ -202,8 +205,10 @@
       mStream->Close();
       return Fail(exchange_outcome::Broken, true, "foreign_answer");
     }
-    mRateLimit = std::string(
-      response->mHead.mHeaders.Find(mNames.mRateLimit).value_or(""));
+    if (id) {
+      mLimit =
+        ReadLimitSignal(response->mHead.mHeaders.Tokens(mNames.mRateLimit));
+    }
     return Judge(std::move(*response));
   }
 }
--- a/modules/proxy/target_exchange.h
+++ b/modules/proxy/target_exchange.h
@@ -29,8 +29,8 @@
   std::optional<http_response> mResponse;
   /// What went wrong, for the log; empty when nothing did.
   std::string mReason;
-  /// The rate limit that the target named, as it came; empty without one.
-  std::string mRateLimit;
+  /// What the target's own answer says of its rate limit.
+  limit_signal mLimit;
   /// A new connection is refused after the old one broke: the target went down.
   bool mIsTargetDown = false;
 };
@@ -83,7 +83,7 @@
   bool mIsNewConnection = false;
   /// Answers to other requests that came in front.
   int mForeignAnswers = 0;
-  std::string mRateLimit;
+  limit_signal mLimit;
 };
 
 } // namespace cowslipline
--- a/modules/sharing/owner_client.cpp
+++ b/modules/sharing/owner_client.cpp
@@ -2,6 +2,9 @@
 
 #include "core/log.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace cowslipline {
 
 namespace {
@@ -20,6 +23,13 @@
 
 constexpr std::size_t kMaxOwners = 2;
 
+/// The item by which the owner of a target's limit is named.
+std::string
+SendPermitItem(const std::string& aTarget)
+{
+  return "sends to " + aTarget;
+}
+
 } // namespace
 
 owner_client::owner_client(scheduler& aScheduler,
@@ -163,6 +173,51 @@
   return decision->mIsAdmitted;
 }
 
+std::optional<permit_decision>
+owner_client::TakeSendPermit(const std::string& aTarget,
+                             double aRate,
+                             int aPriority,
+                             yield_context aYield)
+{
+  const auto item = SendPermitItem(aTarget);
+  for (const auto& owner : OwnersOf(item)) {
+    if (owner.mName == mMembers.Self().mName) {
+      return mSendPermits.Take(
+        { aTarget, aRate, aPriority, mMembers.IsFirstOwner(item) },
+        mScheduler.Now());
+    }
+    const send_permit_request request{
+      0, aTarget, aRate, static_cast<std::uint32_t>(std::max(aPriority, 0))
+    };
+    const auto decision = AskOwner(request, owner, kFirstReplyTimeout, aYield);
+    if (decision) {
+      return permit_decision{ decision->mIsAdmitted, decision->mRetryAfter };
+    }
+    MarkUnresponsive(owner, item);
+  }
+  return std::nullopt;
+}
+
+void
+owner_client::OnPeerRequest(const send_permit_request& aRequest,
+                            const udp_endpoint& aFrom)
+{
+  const auto decision = mSendPermits.Take(
+    { aRequest.mTarget,
+      aRequest.mRate,
+      static_cast<int>(
+        std::min(aRequest.mPriority,
+                 static_cast<std::uint32_t>(std::numeric_limits<int>::max()))),
+      mMembers.IsFirstOwner(SendPermitItem(aRequest.mTarget)) },
+    mScheduler.Now());
+  const auto retryAfter =
+    std::chrono::duration_cast<std::chrono::milliseconds>(decision.mRetryAfter);
+  mLink.Send(owner_reply{ aRequest.mId,
+                          decision.mIsGranted,
+                          static_cast<std::uint32_t>(retryAfter.count()) },
+             aFrom);
+}
+
 void
 owner_client::OnPeerRequest(const quota_request& aRequest,
                             const quota_limit& aLimit,
@@ -211,6 +266,7 @@
   MembershipChangedAt();
   mQuotas.Prune(mScheduler.Now());
   mLocalShares.Prune(mScheduler.Now());
+  mSendPermits.Prune(mScheduler.Now());
 }
 
 } // namespace cowslipline
--- a/modules/sharing/owner_client.h
+++ b/modules/sharing/owner_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/scheduler.h"
+#include "modules/placement/send_permits.h"
 #include "modules/placement/service_retry_budgets.h"
 #include "modules/sharing/member_table.h"
 #include "modules/sharing/peer_link.h"
@@ -38,10 +39,11 @@
 };
 
 /// Fleet-wide rate limits and retry budgets. Rendezvous hashing over the
-/// members assigns an owner to each organisation's quota and each service's
-/// retry budget, which decides for all instances. The others ask it with one
-/// datagram per decision. For a quota they repeat the request once, then ask
-/// the second owner, and at last admit a local share of the rate.
+/// members assigns an owner to each organisation's quota, each service's retry
+/// budget and each limited target, which decides for all instances. The others
+/// ask it with one datagram per decision. For a quota they repeat the request
+/// once, then ask the second owner, and at last admit a local share of the
+/// rate. Without a reply of either owner nothing is sent to a limited target.
 class owner_client
 {
 public:
@@ -70,12 +72,21 @@
   /// spent or the owner does not reply within 50 ms.
   bool TakeRetry(const std::string& aService, yield_context aYield);
 
+  /// Takes a permit to send once to a target that limits the fleet's rate.
+  /// Nothing if neither owner replies, after 50 ms each. aRate: requests/s.
+  std::optional<permit_decision> TakeSendPermit(const std::string& aTarget,
+                                                double aRate,
+                                                int aPriority,
+                                                yield_context aYield);
+
   /// Decides as the owner and replies to the instance at aFrom. aLimit: the
   /// organisation's limit in this instance's configuration.
   void OnPeerRequest(const quota_request& aRequest,
                      const quota_limit& aLimit,
                      const udp_endpoint& aFrom);
   void OnPeerRequest(const retry_request& aRequest, const udp_endpoint& aFrom);
+  void OnPeerRequest(const send_permit_request& aRequest,
+                     const udp_endpoint& aFrom);
   /// Ignored if the request it replies to has timed out.
   void OnReply(const owner_reply& aReply);
 
@@ -119,6 +130,7 @@
   /// Limits requests to a local share of each rate while no owner replies.
   quota_buckets mLocalShares;
   service_retry_budgets mRetries;
+  send_permits mSendPermits;
   unreported_request_counter mRecentRequests;
   std::uint64_t mKnownEpoch = 0;
   steady_time mMembershipChangedAt;
--- a/modules/sharing/peer_message.cpp
+++ b/modules/sharing/peer_message.cpp
@@ -2,6 +2,8 @@
 
 #include "core/cbor.h"
 
+#include <cmath>
+
 namespace cowslipline {
 
 namespace {
@@ -21,6 +23,9 @@
   OwnerReply,
   ChangesRequest,
   ChangesReply,
+  TargetLimit,
+  TargetLimitsRequest,
+  SendPermitRequest,
 };
 
 json
@@ -106,6 +111,38 @@
            aReply.mText };
 }
 
+json
+Encode(const std::string& aSender, const target_limit_report& aReport)
+{
+  return { kProtocolVersion,
+           static_cast<int>(message_kind::TargetLimit),
+           aSender,
+           aReport.mTarget,
+           aReport.mStartedAtMs,
+           aReport.mIsNamed,
+           aReport.mRate,
+           aReport.mAgeMs,
+           aReport.mShouldRelay };
+}
+
+json
+Encode(const std::string& aSender, const target_limits_request& aRequest)
+{
+  return { kProtocolVersion,
+           static_cast<int>(message_kind::TargetLimitsRequest),
+           aSender,
+           aRequest.mId };
+}
+
+json
+Encode(const std::string& aSender, const send_permit_request& aRequest)
+{
+  return { kProtocolVersion,  static_cast<int>(message_kind::SendPermitRequest),
+           aSender,           aRequest.mId,
+           aRequest.mTarget,  aRequest.mRate,
+           aRequest.mPriority };
+}
+
 result<peer_payload>
 DecodeLoad(const json& aRequests)
 {
@@ -135,6 +172,14 @@
   const auto isBoolean = [&](std::size_t aIndex) {
     return aIndex < aFields.size() && aFields[aIndex].is_boolean();
   };
+  const auto isInteger = [&](std::size_t aIndex) {
+    return aIndex < aFields.size() && aFields[aIndex].is_number_integer();
+  };
+  const auto isRate = [&](std::size_t aIndex) {
+    return aIndex < aFields.size() && aFields[aIndex].is_number() &&
+           std::isfinite(aFields[aIndex].get<double>()) &&
+           aFields[aIndex].get<double>() >= 0;
+  };
   switch (aKind) {
     case message_kind::Outcome:
       if (isString(3) && isUnsigned(4) && isBoolean(5)) {
@@ -178,6 +223,25 @@
                               aFields[6], aFields[7], aFields[8] };
       }
       break;
+    case message_kind::TargetLimit:
+      if (isString(3) && isInteger(4) && isBoolean(5) && isRate(6) &&
+          isUnsigned(7) && isBoolean(8)) {
+        return target_limit_report{ aFields[3], aFields[4], aFields[5],
+                                    aFields[6], aFields[7], aFields[8] };
+      }
+      break;
+    case message_kind::TargetLimitsRequest:
+      if (isUnsigned(3)) {
+        return target_limits_request{ aFields[3] };
+      }
+      break;
+    case message_kind::SendPermitRequest:
+      if (isUnsigned(3) && isString(4) && isRate(5) && isUnsigned(6)) {
+        return send_permit_request{
+          aFields[3], aFields[4], aFields[5], aFields[6]
+        };
+      }
+      break;
   }
   return Fail(errc::MessageMalformed);
 }
--- a/modules/sharing/peer_message.h
+++ b/modules/sharing/peer_message.h
@@ -50,7 +50,8 @@
   std::uint32_t mRequestsSinceLast = 0;
 };
 
-/// Reply to a quota_request or retry_request, with its mId.
+/// Reply to a quota_request, retry_request or send_permit_request, with its
+/// mId.
 struct owner_reply
 {
   std::uint64_t mId = 0;
@@ -59,6 +60,33 @@
   std::uint32_t mRetryAfterMs = 0;
 };
 
+/// What the sender saw of a target's rate limit.
+struct target_limit_report
+{
+  std::string mTarget;
+  std::int64_t mStartedAtMs = 0; ///< Of the target, Unix ms.
+  bool mIsNamed = false;         ///< False: an answer without a limit.
+  double mRate = 0;              ///< Requests/s of the whole fleet.
+  std::uint32_t mAgeMs = 0;      ///< Milliseconds since it was seen.
+  /// The receiver is to send it on to the members of its availability zone.
+  bool mShouldRelay = false;
+};
+
+/// Asks for a target_limit_report of each limit that the receiver knows.
+struct target_limits_request
+{
+  std::uint64_t mId = 0;
+};
+
+/// Asks the owner of a limited target for a permit to send to it once.
+struct send_permit_request
+{
+  std::uint64_t mId = 0;
+  std::string mTarget;
+  double mRate = 0;            ///< The target's limit, as the sender knows it.
+  std::uint32_t mPriority = 0; ///< 0 is the most urgent.
+};
+
 /// Asks an instance of the zone for the changes in the platform's store.
 struct changes_request
 {
@@ -87,7 +115,10 @@
                                   retry_request,
                                   owner_reply,
                                   changes_request,
-                                  changes_reply>;
+                                  changes_reply,
+                                  target_limit_report,
+                                  target_limits_request,
+                                  send_permit_request>;
 
 /// A payload and the name of the instance that sent it.
 struct peer_message
--- a/tests/sharing/test_sharing.cpp
+++ b/tests/sharing/test_sharing.cpp
@@ -299,6 +299,9 @@
       quota_request{ 5, "lagos" },
       retry_request{ 6, "ledger", 9 },
       owner_reply{ 5, true, 250 },
+      target_limit_report{ "t1", 1'700'000'000'000, true, 1.4, 20, true },
+      target_limits_request{ 7 },
+      send_permit_request{ 8, "t1", 1.4, 2 },
     };
     for (const auto& payload : payloads) {
       const auto bytes = EncodePeerMessage({ "i1", payload });
@@ -318,5 +321,9 @@
     CHECK_FALSE(DecodePeerMessage(EncodeCbor({ 2, 4, "i1", 5, "lagos" })));
     CHECK_FALSE(DecodePeerMessage(EncodeCbor({ 1, 4, "i1", "5", "lagos" })));
     CHECK_FALSE(DecodePeerMessage(EncodeCbor({ 1, 99, "i1", 5, "lagos" })));
+    CHECK_FALSE(DecodePeerMessage(
+      EncodePeerMessage({ "i1", send_permit_request{ 8, "t1", -1, 0 } })));
+    CHECK_FALSE(DecodePeerMessage(
+      EncodePeerMessage({ "i1", send_permit_request{ 8, "t1", NAN, 0 } })));
   }
 }
