Observability: the store's own revision and generation, and configurations left out

store_read named the instance's position instead of what the store said, and a configuration that was left out as an older one had no line. No logic changed.

--- a/modules/sync/platform_feed.h
+++ b/modules/sync/platform_feed.h
@@ -62,6 +62,8 @@
   std::vector<platform_event> mEvents;
   /// The store's revision after these events; the next watch starts after it.
   std::uint64_t mRevision = 0;
+  /// Increases each time that the store has come back from an older copy.
+  std::uint64_t mGeneration = 0;
   /// The events in the store's encoding, to be forwarded to other instances and
   /// decoded with Decode(). The configuration is left out, because it is too
   /// large for a datagram.
--- a/modules/sync/platform_sync.cpp
+++ b/modules/sync/platform_sync.cpp
@@ -431,6 +431,8 @@
     Log(log_level::Info,
         "store_read",
         { { "revision", std::to_string(mRevision) },
+          { "store_revision", std::to_string(aChanges.mRevision) },
+          { "generation", std::to_string(aChanges.mGeneration) },
           { "targets", std::to_string(mView.mTargets.All().size()) },
           { "members",
             std::to_string(mView.mMembers.RegisteredNames().size()) } });
@@ -463,6 +465,12 @@
   const auto inForce =
     mView.mRoutes ? mView.mRoutes->Configuration().mVersion : 0;
   if (mView.mRoutes && version <= inForce) {
+    if (version < inForce) {
+      Log(log_level::Info,
+          "configuration_older",
+          { { "version", std::to_string(version) },
+            { "in_force", std::to_string(inForce) } });
+    }
     return;
   }
   mView.mRoutes = aChange.mIndex;
