--- a/tests/fakes/memory_platform_feed.cpp
+++ b/tests/fakes/memory_platform_feed.cpp
@@ -7,43 +7,50 @@
 void
 memory_platform_feed::Record(platform_event aEvent)
 {
-  mHistory.emplace_back(++mRevision, std::move(aEvent));
+  mState.mHistory.emplace_back(++mState.mRevision, std::move(aEvent));
   mChanged.Set();
 }
 
 void
 memory_platform_feed::Publish(fleet_configuration aConfiguration)
 {
-  mConfiguration =
+  mState.mConfiguration =
     configuration_changed{ route_index::Create(std::move(aConfiguration)) };
-  Record(*mConfiguration);
+  Record(*mState.mConfiguration);
 }
 
 void
 memory_platform_feed::PutTarget(const target_entry& aTarget)
 {
-  mTargets[aTarget.mId] = aTarget;
+  mState.mTargets[aTarget.mId] = aTarget;
   Record(target_changed{ aTarget });
 }
 
 void
 memory_platform_feed::RemoveTarget(const std::string& aId)
 {
-  mTargets.erase(aId);
+  mState.mTargets.erase(aId);
   Record(target_removed{ aId });
 }
 
+void
+memory_platform_feed::RestoreCopy()
+{
+  mState = mCopy;
+  ++mGeneration;
+}
+
 void
 memory_platform_feed::ExpireLeases()
 {
-  mOldestValidLease = mNextLease;
-  mMembers.clear();
+  mState.mOldestValidLease = mState.mNextLease;
+  mState.mMembers.clear();
 }
 
 void
 memory_platform_feed::RemoveMember(const std::string& aName)
 {
-  mMembers.erase(aName);
+  mState.mMembers.erase(aName);
   Record(member_removed{ aName });
 }
 
@@ -55,14 +62,15 @@
     return Fail(errc::StoreUnavailable);
   }
   platform_changes changes;
-  changes.mRevision = mRevision;
-  if (mConfiguration) {
-    changes.mEvents.push_back(*mConfiguration);
+  changes.mRevision = mState.mRevision;
+  changes.mGeneration = mGeneration;
+  if (mState.mConfiguration) {
+    changes.mEvents.push_back(*mState.mConfiguration);
   }
-  for (const auto& [id, target] : mTargets) {
+  for (const auto& [id, target] : mState.mTargets) {
     changes.mEvents.push_back(target_changed{ target });
   }
-  for (const auto& [name, member] : mMembers) {
+  for (const auto& [name, member] : mState.mMembers) {
     changes.mEvents.push_back(member_changed{ member.first });
   }
   return changes;
@@ -77,19 +85,20 @@
   if (mIsDown) {
     return Fail(errc::StoreUnavailable);
   }
-  if (aAfter < mOldestRevision) {
+  if (aAfter < mOldestRevision || aAfter > mState.mRevision) {
     mOldestRevision = 0;
     return Fail(errc::HistoryLost);
   }
-  if (mRevision <= aAfter) {
+  if (mState.mRevision <= aAfter) {
     mChanged.Wait(mScheduler, aWait, aYield);
   }
   if (mIsDown) {
     return Fail(errc::StoreUnavailable);
   }
   platform_changes changes;
-  changes.mRevision = mRevision;
-  for (const auto& [revision, event] : mHistory) {
+  changes.mRevision = mState.mRevision;
+  changes.mGeneration = mGeneration;
+  for (const auto& [revision, event] : mState.mHistory) {
     if (revision > aAfter) {
       changes.mEvents.push_back(event);
       changes.mHasConfiguration =
@@ -97,7 +106,8 @@
         std::holds_alternative<configuration_changed>(event);
     }
   }
-  changes.mText = std::to_string(aAfter) + '-' + std::to_string(mRevision);
+  changes.mText =
+    std::to_string(aAfter) + '-' + std::to_string(mState.mRevision);
   return changes;
 }
 
@@ -111,7 +121,7 @@
     return Fail(errc::MessageMalformed);
   }
   std::vector<platform_event> events;
-  for (const auto& [revision, event] : mHistory) {
+  for (const auto& [revision, event] : mState.mHistory) {
     if (revision > from && revision <= to) {
       events.push_back(event);
     }
@@ -126,7 +136,7 @@
   if (mIsDown) {
     return Fail(errc::StoreUnavailable);
   }
-  return mNextLease++;
+  return mState.mNextLease++;
 }
 
 result<void>
@@ -136,7 +146,7 @@
   if (mIsDown) {
     return Fail(errc::StoreUnavailable);
   }
-  if (aLease < mOldestValidLease) {
+  if (aLease < mState.mOldestValidLease) {
     return Fail(errc::NotFound);
   }
   return {};
@@ -146,8 +156,9 @@
 memory_platform_feed::EndLease(lease_id aLease, yield_context)
 {
   ++mCallCount;
-  for (auto member = mMembers.begin(); member != mMembers.end();) {
-    member = member->second.second == aLease ? mMembers.erase(member)
+  for (auto member = mState.mMembers.begin();
+       member != mState.mMembers.end();) {
+    member = member->second.second == aLease ? mState.mMembers.erase(member)
                                              : std::next(member);
   }
   return {};
@@ -162,7 +173,7 @@
   if (mIsDown) {
     return Fail(errc::StoreUnavailable);
   }
-  mMembers[aMember.mName] = { aMember, aLease };
+  mState.mMembers[aMember.mName] = { aMember, aLease };
   Record(member_changed{ aMember });
   return {};
 }
--- a/tests/fakes/memory_platform_feed.h
+++ b/tests/fakes/memory_platform_feed.h
@@ -21,9 +21,19 @@
   void RemoveTarget(const std::string& aId);
   /// Removes the target without an event, as when its removal is in a part of
   /// the history that the store has discarded.
-  void RemoveTargetWithoutEvent(const std::string& aId) { mTargets.erase(aId); }
+  void RemoveTargetWithoutEvent(const std::string& aId)
+  {
+    mState.mTargets.erase(aId);
+  }
   /// The next watch fails with errc::HistoryLost.
-  void DiscardHistory() { mOldestRevision = mRevision + 1; }
+  void DiscardHistory() { mOldestRevision = mState.mRevision + 1; }
+
+  /// Keeps a copy of everything, for RestoreCopy().
+  void TakeCopy() { mCopy = mState; }
+  /// Goes back to the copy, as a store that is restored from it: what was
+  /// written since is lost, revisions and leases are given out again, and the
+  /// generation increases.
+  void RestoreCopy();
 
   /// While down, all calls except EndLease() fail with errc::StoreUnavailable.
   void SetDown(bool aIsDown) { mIsDown = aIsDown; }
@@ -33,7 +43,7 @@
   void RemoveMember(const std::string& aName);
   /// Number of calls that reached the store, failed ones included.
   int CallCount() const { return mCallCount; }
-  std::size_t MemberCount() const { return mMembers.size(); }
+  std::size_t MemberCount() const { return mState.mMembers.size(); }
 
   result<platform_changes> ReadAll(yield_context aYield) override;
   result<platform_changes> Watch(std::uint64_t aAfter,
@@ -49,17 +59,25 @@
                         yield_context aYield) override;
 
 private:
+  /// What a copy of the store holds.
+  struct state
+  {
+    std::uint64_t mRevision = 1;
+    std::vector<std::pair<std::uint64_t, platform_event>> mHistory;
+    std::optional<platform_event> mConfiguration;
+    std::map<std::string, target_entry> mTargets;
+    std::map<std::string, std::pair<fleet_member, lease_id>> mMembers;
+    lease_id mNextLease = 1;
+    lease_id mOldestValidLease = 1;
+  };
+
   void Record(platform_event aEvent);
 
   scheduler& mScheduler;
-  std::uint64_t mRevision = 1;
+  state mState;
+  state mCopy;
+  std::uint64_t mGeneration = 1;
   std::uint64_t mOldestRevision = 0;
-  std::vector<std::pair<std::uint64_t, platform_event>> mHistory;
-  std::optional<platform_event> mConfiguration;
-  std::map<std::string, target_entry> mTargets;
-  std::map<std::string, std::pair<fleet_member, lease_id>> mMembers;
-  lease_id mNextLease = 1;
-  lease_id mOldestValidLease = 1;
   bool mIsDown = false;
   int mCallCount = 0;
   event mChanged;
--- a/tests/sync/test_platform_sync.cpp
+++ b/tests/sync/test_platform_sync.cpp
@@ -330,6 +330,27 @@
   CHECK(fixture.mView.mTargets.Find("t3") != nullptr);
 }
 
+// Guards against changes that are missed because the store, back from an older
+// copy, gives out again the revisions that the instance has already seen.
+TEST(platform_sync, ChangesAreInForceAfterTheStoreCameBackFromACopy)
+{
+  sync_fixture fixture;
+  fixture.mFeed.TakeCopy();
+  fixture.mFeed.Publish(MakeConfiguration(6));
+  fixture.mFeed.PutTarget(MakeTarget("t3"));
+  fixture.mClock.Advance(1s);
+  LONGS_EQUAL(6, fixture.VersionInForce());
+  fixture.mFeed.SetDown(true);
+  fixture.mClock.Advance(100ms);
+  fixture.mFeed.RestoreCopy();
+  // The same two revisions as before, with other content.
+  fixture.mFeed.PutTarget(MakeTarget("t3"));
+  fixture.mFeed.Publish(MakeConfiguration(8));
+  fixture.mFeed.SetDown(false);
+  fixture.mClock.Advance(2s);
+  LONGS_EQUAL(8, fixture.VersionInForce());
+}
+
 // Guards against a number of calls to the store that grows with the fleet, and
 // against followers that rely on a reader which has lost its connection to the
 // store or to them.
