Sync: a position in the store's history names its generation

Cause: the largest revision ever seen was taken as the position, and the store, back from an older copy, gives those numbers out again. The watch then succeeds and lacks what was written up to the old number. Before that, all instances read everything in a loop, about 150 times a second, since a watch from the old number got 410.

Every answer of the store names its generation now, and a position is a generation and a revision. A watch whose answer is of another generation leads to one full read; peers name the generation in questions and answers, so that no reader tells a follower that the same number is the same state; what is missing in the first read of a generation gets 2 s to come back. A lease belongs to a generation too: its number may be another instance's in the next, so an instance registers again, and leaving removes the own key instead of ending a lease by number. A watch's answer no longer replaces what a peer sent meanwhile.

--- a/modules/proxy/zone_sync_peers.cpp
+++ b/modules/proxy/zone_sync_peers.cpp
@@ -27,14 +27,17 @@
 }
 
 std::optional<changes_reply>
-zone_sync_peers::AskReader(std::uint64_t aRevision, yield_context aYield)
+zone_sync_peers::AskReader(const store_position& aPosition,
+                           yield_context aYield)
 {
   // A copy: the table may change while the reply is awaited.
   const auto reader = Reader();
   for (int i = 0; i < kTries; ++i) {
     mAskedId = ++mNextId;
     mAnswer.reset();
-    mLink.Send(changes_request{ mAskedId, aRevision }, reader.mAddress);
+    mLink.Send(
+      changes_request{ mAskedId, aPosition.mRevision, aPosition.mGeneration },
+      reader.mAddress);
     mAnswered.Wait(mScheduler, kReplyWait, aYield);
     mAskedId = 0;
     if (mAnswer) {
--- a/modules/proxy/zone_sync_peers.h
+++ b/modules/proxy/zone_sync_peers.h
@@ -21,7 +21,7 @@
   }
 
   bool IsReader() const override;
-  std::optional<changes_reply> AskReader(std::uint64_t aRevision,
+  std::optional<changes_reply> AskReader(const store_position& aPosition,
                                          yield_context aYield) override;
   void Broadcast(const changes_reply& aChanges) override;
 
--- a/modules/sharing/peer_message.cpp
+++ b/modules/sharing/peer_message.cpp
@@ -94,7 +94,8 @@
            static_cast<int>(message_kind::ChangesRequest),
            aSender,
            aRequest.mId,
-           aRequest.mKnownRevision };
+           aRequest.mKnownRevision,
+           aRequest.mGeneration };
 }
 
 json
@@ -108,7 +109,8 @@
            aReply.mToRevision,
            aReply.mAgeMs,
            aReply.mIsPartial,
-           aReply.mText };
+           aReply.mText,
+           aReply.mGeneration };
 }
 
 json
@@ -172,6 +174,10 @@
   const auto isBoolean = [&](std::size_t aIndex) {
     return aIndex < aFields.size() && aFields[aIndex].is_boolean();
   };
+  // Fields that instances of an earlier version do not send.
+  const auto unsignedOrZero = [&](std::size_t aIndex) -> std::uint64_t {
+    return isUnsigned(aIndex) ? aFields[aIndex].get<std::uint64_t>() : 0;
+  };
   const auto isInteger = [&](std::size_t aIndex) {
     return aIndex < aFields.size() && aFields[aIndex].is_number_integer();
   };
@@ -213,14 +219,15 @@
       break;
     case message_kind::ChangesRequest:
       if (isUnsigned(3) && isUnsigned(4)) {
-        return changes_request{ aFields[3], aFields[4] };
+        return changes_request{ aFields[3], aFields[4], unsignedOrZero(5) };
       }
       break;
     case message_kind::ChangesReply:
       if (isUnsigned(3) && isUnsigned(4) && isUnsigned(5) && isUnsigned(6) &&
           isBoolean(7) && isString(8)) {
-        return changes_reply{ aFields[3], aFields[4], aFields[5],
-                              aFields[6], aFields[7], aFields[8] };
+        return changes_reply{ aFields[3],       aFields[4], aFields[5],
+                              aFields[6],       aFields[7], aFields[8],
+                              unsignedOrZero(9) };
       }
       break;
     case message_kind::TargetLimit:
--- a/modules/sharing/peer_message.h
+++ b/modules/sharing/peer_message.h
@@ -92,6 +92,7 @@
 {
   std::uint64_t mId = 0;
   std::uint64_t mKnownRevision = 0; ///< The last one the sender applied.
+  std::uint64_t mGeneration = 0;    ///< Of the store, for mKnownRevision.
 };
 
 /// Reply to a changes_request, or an unsolicited notice of changes (mId 0).
@@ -106,6 +107,7 @@
   /// mText does not hold all changes: the receiver has to read the store.
   bool mIsPartial = false;
   std::string mText;
+  std::uint64_t mGeneration = 0; ///< Of the store, for the revisions.
 };
 
 using peer_payload = std::variant<target_report,
--- a/modules/sync/lapsed_entries.cpp
+++ b/modules/sync/lapsed_entries.cpp
@@ -14,9 +14,10 @@
 } // namespace
 
 void
-lapsed_entries::BeginGracePeriod(steady_time aGraceEnd)
+lapsed_entries::BeginGracePeriod(steady_time aGraceEnd, bool aIsRestored)
 {
   mGraceEnd = aGraceEnd;
+  mIsRestored = aIsRestored;
   mMissingCount = 0;
 }
 
@@ -27,7 +28,7 @@
 {
   if (aNow < mGraceEnd) {
     mMissingCount += aMissing.size();
-    if (mMissingCount * kMassLapseDivisor >= aKnown) {
+    if (mIsRestored || mMissingCount * kMassLapseDivisor >= aKnown) {
       mDeferred.insert(aMissing.begin(), aMissing.end());
       return {};
     }
--- a/modules/sync/lapsed_entries.h
+++ b/modules/sync/lapsed_entries.h
@@ -14,12 +14,14 @@
 /// least a third of the entries is missing, their removal is deferred until the
 /// grace period ends. When only this instance was cut off from the store, few
 /// entries are missing; their owners did leave, so they are removed at once.
+/// A store that has come back from an older copy lacks what was written since,
+/// so every missing entry is deferred.
 class lapsed_entries
 {
 public:
   /// To be called when the store is available again. Deferred entries are
-  /// removed from aGraceEnd on.
-  void BeginGracePeriod(steady_time aGraceEnd);
+  /// removed from aGraceEnd on. aIsRestored: from an older copy.
+  void BeginGracePeriod(steady_time aGraceEnd, bool aIsRestored);
 
   /// Returns the entries to remove now, which are all of aMissing or none.
   /// Deferred ones are returned by TakeExpired(). aKnown: number of entries
@@ -42,6 +44,7 @@
 
 private:
   steady_time mGraceEnd;
+  bool mIsRestored = false;
   std::size_t mMissingCount = 0; ///< Since the grace period began.
   std::set<std::string> mDeferred;
 };
--- a/modules/sync/platform_feed.h
+++ b/modules/sync/platform_feed.h
@@ -56,14 +56,34 @@
                                     member_removed,
                                     entry_unreadable>;
 
+/// A point in the store's history. Revisions of different generations cannot be
+/// compared: when the store comes back from an older copy, its generation
+/// increases and the revisions since the copy are given out again.
+struct store_position
+{
+  std::uint64_t mGeneration = 0; ///< 0 if the store does not name one.
+  std::uint64_t mRevision = 0;
+};
+
+inline bool
+operator==(const store_position& aLeft, const store_position& aRight)
+{
+  return aLeft.mGeneration == aRight.mGeneration &&
+         aLeft.mRevision == aRight.mRevision;
+}
+
+inline bool
+operator!=(const store_position& aLeft, const store_position& aRight)
+{
+  return !(aLeft == aRight);
+}
+
 /// Events from the store in the order of their revisions.
 struct platform_changes
 {
   std::vector<platform_event> mEvents;
-  /// The store's revision after these events; the next watch starts after it.
-  std::uint64_t mRevision = 0;
-  /// Increases each time that the store has come back from an older copy.
-  std::uint64_t mGeneration = 0;
+  /// Where the store is after these events; the next watch starts after it.
+  store_position mPosition;
   /// The events in the store's encoding, to be forwarded to other instances and
   /// decoded with Decode(). The configuration is left out, because it is too
   /// large for a datagram.
@@ -72,15 +92,20 @@
   bool mHasConfiguration = false;
 };
 
-/// Identifies a lease in the store. The store deletes the keys written under a
-/// lease when the lease ends.
-using lease_id = std::uint64_t;
+/// A lease in the store, which deletes the keys written under a lease when the
+/// lease ends. The number may belong to another instance in a later generation
+/// of the store.
+struct store_lease
+{
+  std::uint64_t mId = 0;
+  std::uint64_t mGeneration = 0;
+};
 
 /// Interface to the platform's key-value store: reads and watches its entries
 /// and registers this instance under a lease. Errors of all calls that take a
 /// yield_context: errc::StoreUnavailable (the call had no effect),
 /// errc::StoreAnswerLost (the call may have taken effect), errc::NotFound for a
-/// lease that has ended.
+/// lease that has ended or is of an earlier generation.
 class platform_feed
 {
 public:
@@ -89,10 +114,11 @@
   /// Reads all entries at the store's current revision.
   virtual result<platform_changes> ReadAll(yield_context aYield) = 0;
 
-  /// Waits at most aWait for changes after revision aAfter; mEvents is empty
-  /// when there were none. Further error: errc::HistoryLost, the store has
-  /// discarded the history after aAfter and ReadAll() is required.
-  virtual result<platform_changes> Watch(std::uint64_t aAfter,
+  /// Waits at most aWait for changes after aAfter; mEvents is empty when there
+  /// were none. Further error: errc::HistoryLost, the store has no history
+  /// after aAfter, also because it is of another generation, and ReadAll() is
+  /// required.
+  virtual result<platform_changes> Watch(const store_position& aAfter,
                                          duration aWait,
                                          yield_context aYield) = 0;
 
@@ -102,16 +128,19 @@
     std::string_view aText) = 0;
 
   /// Creates a lease that ends when it is not renewed within aTimeToLive.
-  virtual result<lease_id> GrantLease(duration aTimeToLive,
-                                      yield_context aYield) = 0;
-  virtual result<void> RenewLease(lease_id aLease, yield_context aYield) = 0;
-  /// Ends the lease at once, which deletes its keys.
-  virtual result<void> EndLease(lease_id aLease, yield_context aYield) = 0;
+  virtual result<store_lease> GrantLease(duration aTimeToLive,
+                                         yield_context aYield) = 0;
+  virtual result<void> RenewLease(const store_lease& aLease,
+                                  yield_context aYield) = 0;
 
   /// Writes the member's registration under the lease.
   virtual result<void> Register(const fleet_member& aMember,
-                                lease_id aLease,
+                                const store_lease& aLease,
                                 yield_context aYield) = 0;
+  /// Removes the member's registration. Its lease is left to expire: by its
+  /// number the lease of another instance could be ended.
+  virtual result<void> Unregister(const fleet_member& aMember,
+                                  yield_context aYield) = 0;
 };
 
 } // namespace cowslipline
--- a/modules/sync/platform_sync.cpp
+++ b/modules/sync/platform_sync.cpp
@@ -29,6 +29,13 @@
 // all reconnect at the same time.
 constexpr duration kRetryWait = 300ms;
 
+// Full reads that a peer has caused in many instances are spread over this
+// time.
+constexpr duration kReadSpread = 300ms;
+
+// A store that has no history at all is not read more often than this.
+constexpr duration kMinReadInterval = 300ms;
+
 // Grace period for entries that expired during an outage. The operators of the
 // platform state that they are registered again within two seconds of its end.
 constexpr duration kGracePeriod = 2s;
@@ -98,18 +105,26 @@
     const bool isDone = SyncOnce(aYield);
     RemoveLapsedEntries();
     if (!isDone && !mIsStopped) {
-      const auto wait =
-        kRetryWait / 2 + duration(static_cast<duration::rep>(
-                           mRandom.Unit() * (kRetryWait / 2).count()));
-      mScheduler.SleepFor(wait, aYield);
+      mScheduler.SleepFor(kRetryWait / 2 + RandomPart(kRetryWait / 2), aYield);
     }
   }
 }
 
+duration
+platform_sync::RandomPart(duration aWhole)
+{
+  return duration(static_cast<duration::rep>(
+    mRandom.Unit() * static_cast<double>(aWhole.count())));
+}
+
 bool
 platform_sync::SyncOnce(yield_context aYield)
 {
-  if (!mIsRevisionValid) {
+  if (!mIsPositionValid) {
+    if (mIsReadSpread) {
+      mIsReadSpread = false;
+      mScheduler.SleepFor(RandomPart(kReadSpread), aYield);
+    }
     return ReadAll(aYield);
   }
   if (!mIsConnected) {
@@ -127,7 +142,7 @@
   if (!FollowReader(aYield) && !Watch(1ms, aYield)) {
     return false;
   }
-  if (mIsRevisionValid) {
+  if (mIsPositionValid) {
     mWakeUp.Wait(mScheduler, std::min(mFollowInterval, untilExpiry), aYield);
   }
   return true;
@@ -143,7 +158,18 @@
     OnStoreFailure(changes.error(), "read_all");
     return false;
   }
-  mIsRevisionValid = true;
+  const auto generation = changes->mPosition.mGeneration;
+  if (generation < mPosition.mGeneration) {
+    // An answer that was under way while the store came back.
+    OnStoreFailure(errc::StoreUnavailable, "read_all");
+    return false;
+  }
+  if (mView.mIsComplete && generation > mPosition.mGeneration) {
+    OnStoreRestored(changes->mPosition);
+  }
+  mPosition = changes->mPosition;
+  mIsPositionValid = true;
+  mLastReadAt = requestedAt;
   ConfirmFreshness(requestedAt);
   mMustAskStore = false;
   mRecentChanges.clear();
@@ -156,24 +182,32 @@
 platform_sync::Watch(duration aWait, yield_context aYield)
 {
   const auto requestedAt = mScheduler.Now();
-  const auto from = mRevision;
+  const auto from = mPosition;
   mMetrics.Counter("cowslipline_store_calls_total{call=\"watch\"}").Add();
-  const auto changes = mFeed.Watch(mRevision, aWait, aYield);
+  const auto changes = mFeed.Watch(from, aWait, aYield);
   if (!changes && changes.error() == errc::HistoryLost) {
     Log(log_level::Info,
         "store_history_lost",
-        { { "revision", std::to_string(mRevision) } });
-    mIsRevisionValid = false;
+        { { "revision", std::to_string(from.mRevision) },
+          { "generation", std::to_string(from.mGeneration) } });
+    mIsPositionValid = false;
+    if (mScheduler.Now() - mLastReadAt < kMinReadInterval) {
+      mScheduler.SleepFor(kMinReadInterval, aYield);
+    }
     return true;
   }
   if (!changes) {
     OnStoreFailure(changes.error(), "watch");
     return false;
   }
+  if (mPosition != from || !mIsPositionValid) {
+    // A peer was faster: what it sent must not be replaced by older events.
+    return true;
+  }
   ConfirmFreshness(requestedAt);
   mMustAskStore = false;
   Apply(*changes, false);
-  RecordChanges(from, *changes);
+  RecordChanges(from.mRevision, *changes);
   if (!changes->mEvents.empty()) {
     mScheduler.SleepFor(kPauseAfterChanges, aYield);
   }
@@ -189,7 +223,8 @@
   }
   changes_reply recorded;
   recorded.mFromRevision = aFrom;
-  recorded.mToRevision = aChanges.mRevision;
+  recorded.mToRevision = aChanges.mPosition.mRevision;
+  recorded.mGeneration = aChanges.mPosition.mGeneration;
   recorded.mIsPartial =
     aChanges.mHasConfiguration || aChanges.mText.size() > kMaxForwardedBytes;
   if (!recorded.mIsPartial) {
@@ -211,10 +246,15 @@
   answer.mId = aQuestion.mId;
   answer.mFromRevision = aQuestion.mKnownRevision;
   answer.mToRevision = aQuestion.mKnownRevision;
+  answer.mGeneration = mPosition.mGeneration;
   const auto age = std::min<duration>(mView.mFreshness.Age(mScheduler.Now()),
                                       std::chrono::hours(1));
   answer.mAgeMs = static_cast<std::uint32_t>(age / 1ms) + 1;
-  if (mRevision == aQuestion.mKnownRevision) {
+  if (aQuestion.mGeneration != mPosition.mGeneration) {
+    answer.mIsPartial = true;
+    return answer;
+  }
+  if (aQuestion.mKnownRevision == mPosition.mRevision) {
     return answer;
   }
   // One recorded change per answer; the follower asks again for the next one.
@@ -245,9 +285,13 @@
   constexpr int kMaxSteps = 4;
   for (int step = 0; step < kMaxSteps; ++step) {
     const auto requestedAt = mScheduler.Now();
-    const auto revision = mRevision;
-    const auto answer = mPeers.AskReader(revision, aYield);
-    if (!answer || answer->mIsPartial) {
+    const auto answer = mPeers.AskReader(mPosition, aYield);
+    if (answer && answer->mGeneration > mPosition.mGeneration) {
+      OnLaterGeneration(answer->mGeneration);
+      return true;
+    }
+    if (!answer || answer->mIsPartial ||
+        answer->mGeneration != mPosition.mGeneration) {
       return false;
     }
     if (answer->mToRevision > answer->mFromRevision) {
@@ -256,7 +300,7 @@
       }
       continue;
     }
-    if (answer->mFromRevision != mRevision) {
+    if (answer->mFromRevision != mPosition.mRevision) {
       // A broadcast was applied while the answer was in transit: ask again.
       continue;
     }
@@ -273,8 +317,8 @@
 bool
 platform_sync::ApplyForwarded(const changes_reply& aChanges)
 {
-  if (aChanges.mFromRevision != mRevision) {
-    return aChanges.mToRevision <= mRevision;
+  if (aChanges.mFromRevision != mPosition.mRevision) {
+    return aChanges.mToRevision <= mPosition.mRevision;
   }
   auto events = mFeed.Decode(aChanges.mText);
   if (!events) {
@@ -286,9 +330,9 @@
   BeginGraceAfterOutage();
   platform_changes changes;
   changes.mEvents = std::move(*events);
-  changes.mRevision = aChanges.mToRevision;
+  changes.mPosition = { aChanges.mGeneration, aChanges.mToRevision };
   changes.mText = aChanges.mText;
-  const auto from = mRevision;
+  const auto from = mPosition.mRevision;
   Apply(changes, false);
   RecordChanges(from, changes);
   return true;
@@ -297,7 +341,16 @@
 void
 platform_sync::OnChangesReceived(const changes_reply& aChanges)
 {
-  if (!mIsRevisionValid || aChanges.mToRevision <= mRevision) {
+  if (!mIsPositionValid) {
+    return;
+  }
+  if (aChanges.mGeneration > mPosition.mGeneration) {
+    OnLaterGeneration(aChanges.mGeneration);
+    mWakeUp.Set();
+    return;
+  }
+  if (aChanges.mGeneration < mPosition.mGeneration ||
+      aChanges.mToRevision <= mPosition.mRevision) {
     return;
   }
   const bool isApplied = !aChanges.mIsPartial && ApplyForwarded(aChanges);
@@ -307,6 +360,39 @@
   }
 }
 
+void
+platform_sync::OnLaterGeneration(std::uint64_t aGeneration)
+{
+  Log(log_level::Info,
+      "store_generation_heard",
+      { { "generation", std::to_string(aGeneration) },
+        { "own", std::to_string(mPosition.mGeneration) } });
+  mIsPositionValid = false;
+  mIsReadSpread = true;
+}
+
+void
+platform_sync::OnStoreRestored(const store_position& aPosition)
+{
+  Log(log_level::Warn,
+      "store_restored",
+      { { "generation", std::to_string(aPosition.mGeneration) },
+        { "revision", std::to_string(aPosition.mRevision) },
+        { "previous_generation", std::to_string(mPosition.mGeneration) },
+        { "previous_revision", std::to_string(mPosition.mRevision) } });
+  mMetrics.Counter("cowslipline_store_restored_total").Add();
+  const auto graceEnd = mScheduler.Now() + kGracePeriod;
+  mLapsedTargets.BeginGracePeriod(graceEnd, true);
+  mLapsedMembers.BeginGracePeriod(graceEnd, true);
+  if (mPeers.IsReader()) {
+    changes_reply notice;
+    notice.mToRevision = aPosition.mRevision;
+    notice.mGeneration = aPosition.mGeneration;
+    notice.mIsPartial = true;
+    mPeers.Broadcast(notice);
+  }
+}
+
 void
 platform_sync::BeginGraceAfterOutage()
 {
@@ -314,8 +400,8 @@
   const bool wasAway =
     mLastConfirmedAt != steady_time() && mView.mFreshness.Age(now) > kMinOutage;
   if (wasAway) {
-    mLapsedTargets.BeginGracePeriod(now + kGracePeriod);
-    mLapsedMembers.BeginGracePeriod(now + kGracePeriod);
+    mLapsedTargets.BeginGracePeriod(now + kGracePeriod, false);
+    mLapsedMembers.BeginGracePeriod(now + kGracePeriod, false);
   }
 }
 
@@ -355,7 +441,7 @@
 void
 platform_sync::Apply(const platform_changes& aChanges, bool aIsFullRead)
 {
-  mRevision = std::max(mRevision, aChanges.mRevision);
+  mPosition = aChanges.mPosition;
   missing_entries missing;
   if (aIsFullRead) {
     // Known entries that a full read does not contain are missing.
@@ -430,9 +516,8 @@
   if (aIsFullRead) {
     Log(log_level::Info,
         "store_read",
-        { { "revision", std::to_string(mRevision) },
-          { "store_revision", std::to_string(aChanges.mRevision) },
-          { "generation", std::to_string(aChanges.mGeneration) },
+        { { "revision", std::to_string(mPosition.mRevision) },
+          { "generation", std::to_string(mPosition.mGeneration) },
           { "targets", std::to_string(mView.mTargets.All().size()) },
           { "members",
             std::to_string(mView.mMembers.RegisteredNames().size()) } });
--- a/modules/sync/platform_sync.h
+++ b/modules/sync/platform_sync.h
@@ -40,10 +40,11 @@
   /// True when this instance watches the store for its zone.
   virtual bool IsReader() const = 0;
 
-  /// Asks the zone's reader for changes after aRevision. std::nullopt when the
+  /// Asks the zone's reader for changes after aPosition. std::nullopt when the
   /// reader does not reply.
-  virtual std::optional<changes_reply> AskReader(std::uint64_t aRevision,
-                                                 yield_context aYield) = 0;
+  virtual std::optional<changes_reply> AskReader(
+    const store_position& aPosition,
+    yield_context aYield) = 0;
 
   /// Sends changes to the other instances of the zone.
   virtual void Broadcast(const changes_reply& aChanges) = 0;
@@ -92,6 +93,10 @@
   bool ApplyForwarded(const changes_reply& aChanges);
   void RecordChanges(std::uint64_t aFrom, const platform_changes& aChanges);
   void BeginGraceAfterOutage();
+  /// The store has come back from an older copy.
+  void OnStoreRestored(const store_position& aPosition);
+  /// Another instance has reached a later generation of the store.
+  void OnLaterGeneration(std::uint64_t aGeneration);
   void Apply(const platform_changes& aChanges, bool aIsFullRead);
   void ApplyConfiguration(const configuration_changed& aChange);
   void RemoveMissing(const std::set<std::string>& aTargets,
@@ -100,6 +105,8 @@
   void RemoveMember(const std::string& aName, const char* aCause);
   void RemoveLapsedEntries();
   void ConfirmFreshness(steady_time aRequestedAt);
+  /// A random part of aWhole, to spread what many instances do.
+  duration RandomPart(duration aWhole);
   void OnStoreFailure(std::error_code aError, const char* aCall);
 
   scheduler& mScheduler;
@@ -120,9 +127,12 @@
   bool mIsStopped = false;
   /// The state was confirmed, and no call to the store has failed since.
   bool mIsConnected = false;
-  /// A watch can start after mRevision; if not, a full read is required.
-  bool mIsRevisionValid = false;
-  std::uint64_t mRevision = 0;
+  /// A watch can start after mPosition; if not, a full read is required.
+  bool mIsPositionValid = false;
+  store_position mPosition;
+  /// A peer has caused the next full read, as it has for other instances.
+  bool mIsReadSpread = false;
+  steady_time mLastReadAt; ///< Of the last full read.
   /// When the store or the reader last answered; steady_time() before the first
   /// answer.
   steady_time mLastConfirmedAt;
--- a/modules/sync/registration.cpp
+++ b/modules/sync/registration.cpp
@@ -27,7 +27,8 @@
         mLease = *lease;
         Log(log_level::Info,
             "registered",
-            { { "lease", std::to_string(*lease) } });
+            { { "lease", std::to_string(lease->mId) },
+              { "generation", std::to_string(lease->mGeneration) } });
       }
       mScheduler.SleepFor(mLease ? kRenewInterval : kRetryWait, aYield);
       continue;
@@ -36,7 +37,8 @@
     if (!renewed && renewed.error() == errc::NotFound) {
       Log(log_level::Warn,
           "registration_lapsed",
-          { { "lease", std::to_string(*mLease) } });
+          { { "lease", std::to_string(mLease->mId) },
+            { "generation", std::to_string(mLease->mGeneration) } });
       mLease.reset();
       continue;
     }
@@ -50,11 +52,11 @@
   if (!mLease) {
     return;
   }
-  const auto ended = mFeed.EndLease(*mLease, aYield);
-  if (!ended) {
+  const auto removed = mFeed.Unregister(mSelf, aYield);
+  if (!removed) {
     Log(log_level::Info,
         "lease_left_to_lapse",
-        { { "reason", ended.error().message() } });
+        { { "reason", removed.error().message() } });
   }
   mLease.reset();
 }
--- a/modules/sync/registration.h
+++ b/modules/sync/registration.h
@@ -6,7 +6,7 @@
 
 /// Keeps this instance registered in the store under a lease, so that the other
 /// instances find it. Renews the lease, and registers again when it has
-/// expired.
+/// expired or the store has come back from a copy, in which it may be missing.
 class registration
 {
 public:
@@ -21,15 +21,15 @@
   void Run(yield_context aYield);
   void Stop() { mIsStopped = true; }
 
-  /// Ends the lease, so that the store removes the registration at once instead
-  /// of when the lease expires. On failure the lease is left to expire.
+  /// Removes the registration at once instead of when the lease expires. On
+  /// failure it is left to expire.
   void Deregister(yield_context aYield);
 
 private:
   scheduler& mScheduler;
   platform_feed& mFeed;
   fleet_member mSelf;
-  std::optional<lease_id> mLease;
+  std::optional<store_lease> mLease;
   bool mIsStopped = false;
 };
 
