Sync: what has left is not used again because an older copy lists it

A store that comes back from an older copy lists targets and instances that have left since, and targets that report draining as ready, until their leases expire (about 5 s). Requests then go to targets that are gone, and quotas to owners that are gone. Cause: a full read was taken as newer than what is known, the same class as a larger revision taken as newer.

Targets say in which order they wrote (start, then sequence), and instances name a random number of their process. For 8 s after such a return a full read is compared with what is known and with what left in the last minute; older entries are left out. What the store still lists after 8 s is alive, so another full read takes it. Entries that lapsed and were written again are no longer remembered as left.

The tests WhatHasLeftIsNotBackFromACopy and WhatIsAliveIsUsedAfterTheStoreCameBackFromACopy fail without the comparison (6 ready targets instead of 4; 2 instead of 1).

--- a/modules/proxy/proxy_instance.cpp
+++ b/modules/proxy/proxy_instance.cpp
@@ -66,7 +66,8 @@
   , mView(aSettings.mBounds.mRevocation,
           { aSettings.mInstance,
             aSettings.mAvailabilityZone,
-            mLink->LocalAddress() })
+            mLink->LocalAddress(),
+            mRandom.Next() | 1U })
   , mChooser(aSettings.mAvailabilityZone,
              aSettings.mBounds.mFloorShare,
              mRandom.Next())
--- a/modules/routing/target_directory.cpp
+++ b/modules/routing/target_directory.cpp
@@ -1,7 +1,16 @@
 #include "modules/routing/target_directory.h"
 
+#include <tuple>
+
 namespace cowslipline {
 
+bool
+IsOlder(const target_entry& aLeft, const target_entry& aRight)
+{
+  return std::tie(aLeft.mStartedAtMs, aLeft.mSequence) <
+         std::tie(aRight.mStartedAtMs, aRight.mSequence);
+}
+
 void
 target_directory::Put(target_entry aEntry)
 {
--- a/modules/routing/target_directory.h
+++ b/modules/routing/target_directory.h
@@ -27,8 +27,13 @@
   target_phase mPhase = target_phase::Ready;
   duration mColdRemaining{ 0 };  ///< Time until it runs at full speed.
   std::int64_t mStartedAtMs = 0; ///< Start of this run of the target, Unix ms.
+  std::uint64_t mSequence = 0;   ///< Increases with each write of this run.
 };
 
+/// True if the target wrote aLeft before aRight.
+bool
+IsOlder(const target_entry& aLeft, const target_entry& aRight);
+
 /// Service registry: all registered targets by id, and the ready ones by
 /// service. An entry of the store that can't be read names no target, so it
 /// isn't here.
--- a/modules/sharing/member_table.cpp
+++ b/modules/sharing/member_table.cpp
@@ -48,6 +48,13 @@
   }
 }
 
+const fleet_member*
+member_table::Find(std::string_view aName) const
+{
+  const auto found = mMembers.find(aName);
+  return found == mMembers.end() ? nullptr : &found->second.mMember;
+}
+
 std::vector<std::string>
 member_table::RegisteredNames() const
 {
--- a/modules/sharing/member_table.h
+++ b/modules/sharing/member_table.h
@@ -20,6 +20,8 @@
   std::string mName;
   std::string mAvailabilityZone;
   udp_endpoint mAddress; ///< UDP address for peer messages.
+  /// Random number of the process; 0: not named.
+  std::uint64_t mRunId = 0;
 };
 
 /// Membership table: the registered instances of the fleet, and which of them
@@ -40,6 +42,9 @@
   /// Removes a member whose registration has ended.
   void Remove(std::string_view aName);
 
+  /// Nothing for a member that is not registered, and for this instance.
+  const fleet_member* Find(std::string_view aName) const;
+
   /// Names of the registered members, this instance's included if it is
   /// registered.
   std::vector<std::string> RegisteredNames() const;
--- a/modules/sync/platform_sync.cpp
+++ b/modules/sync/platform_sync.cpp
@@ -40,6 +40,11 @@
 // platform state that they are registered again within two seconds of its end.
 constexpr duration kGracePeriod = 2s;
 
+// The leases of entries that only an older copy of the store still lists have
+// expired this long after its return: those of targets run for a few
+// heartbeats, those of instances for 6 s.
+constexpr duration kCopyLifetime = 8s;
+
 // Entries may expire during an outage that lasts longer than this.
 constexpr duration kMinOutage = 2500ms;
 
@@ -120,6 +125,12 @@
 bool
 platform_sync::SyncOnce(yield_context aYield)
 {
+  if (mHasSkippedEntries && mScheduler.Now() >= mCopyEnd) {
+    // What is still listed is alive: its owner renews it without changing it.
+    mHasSkippedEntries = false;
+    mIsPositionValid = false;
+    mIsReadSpread = true;
+  }
   if (!mIsPositionValid) {
     if (mIsReadSpread) {
       mIsReadSpread = false;
@@ -381,9 +392,11 @@
         { "previous_generation", std::to_string(mPosition.mGeneration) },
         { "previous_revision", std::to_string(mPosition.mRevision) } });
   mMetrics.Counter("cowslipline_store_restored_total").Add();
-  const auto graceEnd = mScheduler.Now() + kGracePeriod;
+  const auto now = mScheduler.Now();
+  const auto graceEnd = now + kGracePeriod;
   mLapsedTargets.BeginGracePeriod(graceEnd, true);
   mLapsedMembers.BeginGracePeriod(graceEnd, true);
+  mCopyEnd = now + kCopyLifetime;
   if (mPeers.IsReader()) {
     changes_reply notice;
     notice.mToRevision = aPosition.mRevision;
@@ -465,6 +478,11 @@
     {
       mMissing.mTargetIds.erase(aChange.mEntry.mId);
       mSync.mLapsedTargets.OnReturned(aChange.mEntry.mId);
+      if (mIsFullRead && mSync.IsOlderCopy(aChange.mEntry)) {
+        mSync.mHasSkippedEntries = true;
+        return;
+      }
+      mSync.mDeparted.OnTargetReturned(aChange.mEntry.mId);
       mSync.mView.mTargets.Put(aChange.mEntry);
       // A full read contains thousands of targets; a line for each would push
       // all other lines out of the log.
@@ -487,8 +505,17 @@
     }
     void operator()(const member_changed& aChange) const
     {
+      if (mIsFullRead && mSync.IsOlderCopy(aChange.mMember)) {
+        mSync.mHasSkippedEntries = true;
+        return;
+      }
+      mSync.mDeparted.OnMemberReturned(aChange.mMember);
       mMissing.mMemberNames.erase(aChange.mMember.mName);
       mSync.mLapsedMembers.OnReturned(aChange.mMember.mName);
+      const auto* previous = mSync.mView.mMembers.Find(aChange.mMember.mName);
+      if (previous != nullptr && previous->mRunId != aChange.mMember.mRunId) {
+        mSync.mDeparted.OnMemberRemoved(*previous, mSync.mScheduler.Now());
+      }
       mSync.mView.mMembers.Put(aChange.mMember);
       if (mIsFullRead) {
         return;
@@ -567,9 +594,28 @@
           std::to_string(aChange.mIndex->Configuration().mRoutes.size()) } });
 }
 
+bool
+platform_sync::IsOlderCopy(const target_entry& aRead) const
+{
+  if (mScheduler.Now() >= mCopyEnd) {
+    return false;
+  }
+  const auto* known = mView.mTargets.Find(aRead.mId);
+  return known != nullptr ? IsOlder(aRead, *known) : mDeparted.HasLeft(aRead);
+}
+
+bool
+platform_sync::IsOlderCopy(const fleet_member& aRead) const
+{
+  return mScheduler.Now() < mCopyEnd && mDeparted.HasLeft(aRead);
+}
+
 void
 platform_sync::RemoveTarget(const std::string& aId, const char* aCause)
 {
+  if (const auto* known = mView.mTargets.Find(aId)) {
+    mDeparted.OnTargetRemoved(*known, mScheduler.Now());
+  }
   mView.mTargets.Remove(aId);
   Log(log_level::Info,
       "target_removed",
@@ -579,6 +625,9 @@
 void
 platform_sync::RemoveMember(const std::string& aName, const char* aCause)
 {
+  if (const auto* known = mView.mMembers.Find(aName)) {
+    mDeparted.OnMemberRemoved(*known, mScheduler.Now());
+  }
   mView.mMembers.Remove(aName);
   Log(
     log_level::Info, "member_left", { { "peer", aName }, { "cause", aCause } });
@@ -594,6 +643,7 @@
   for (const auto& name : mLapsedMembers.TakeExpired(now)) {
     RemoveMember(name, "lapsed");
   }
+  mDeparted.Prune(now);
 }
 
 } // namespace cowslipline
--- a/modules/sync/platform_sync.h
+++ b/modules/sync/platform_sync.h
@@ -3,6 +3,7 @@
 #include "core/metrics.h"
 #include "core/random.h"
 #include "modules/sharing/peer_message.h"
+#include "modules/sync/departed_entries.h"
 #include "modules/sync/lapsed_entries.h"
 #include "modules/sync/platform_feed.h"
 
@@ -101,6 +102,10 @@
   void ApplyConfiguration(const configuration_changed& aChange);
   void RemoveMissing(const std::set<std::string>& aTargets,
                      const std::set<std::string>& aMembers);
+  /// True if the store has come back from an older copy, and a full read has
+  /// the entry in an older state than is known.
+  bool IsOlderCopy(const target_entry& aRead) const;
+  bool IsOlderCopy(const fleet_member& aRead) const;
   void RemoveTarget(const std::string& aId, const char* aCause);
   void RemoveMember(const std::string& aName, const char* aCause);
   void RemoveLapsedEntries();
@@ -138,6 +143,12 @@
   steady_time mLastConfirmedAt;
   lapsed_entries mLapsedTargets;
   lapsed_entries mLapsedMembers;
+  departed_entries mDeparted;
+  /// Until then a full read may list what only an older copy of the store has.
+  steady_time mCopyEnd = steady_time::min();
+  /// Entries were left out as older ones, so another full read is required
+  /// after mCopyEnd.
+  bool mHasSkippedEntries = false;
 };
 
 } // namespace cowslipline
--- a/modules/sync/sync.h
+++ b/modules/sync/sync.h
@@ -2,6 +2,7 @@
 
 // Public header of the sync library: keeps the local copy of configuration,
 // targets and members in step with the platform's store.
+#include "modules/sync/departed_entries.h"
 #include "modules/sync/lapsed_entries.h"
 #include "modules/sync/platform_feed.h"
 #include "modules/sync/platform_sync.h"
--- a/tests/fakes/memory_platform_feed.cpp
+++ b/tests/fakes/memory_platform_feed.cpp
@@ -96,6 +96,9 @@
   if (mIsDown) {
     return Fail(errc::StoreUnavailable);
   }
+  if (aAfter.mGeneration != mGeneration) {
+    return Fail(errc::HistoryLost);
+  }
   platform_changes changes;
   changes.mPosition = { mGeneration, mState.mRevision };
   for (const auto& [revision, event] : mState.mHistory) {
--- a/tests/platform/test_entry_codec.cpp
+++ b/tests/platform/test_entry_codec.cpp
@@ -89,6 +89,7 @@
   CHECK(target.has_value());
   CHECK(target->mColdRemaining == 1500ms);
   LONGS_EQUAL(80, target->mAddress.port());
+  LONGS_EQUAL(4, target->mSequence);
 
   SECTION("missing fields, wrong types, states and addresses are rejected")
   {
--- a/tests/sync/test_platform_sync.cpp
+++ b/tests/sync/test_platform_sync.cpp
@@ -354,6 +354,127 @@
   LONGS_EQUAL(8, fixture.VersionInForce());
 }
 
+// Guards against a target that has left or is about to, and an instance that
+// has left, being used again because an older copy of the store lists them.
+TEST(platform_sync, WhatHasLeftIsNotBackFromACopy)
+{
+  sync_fixture fixture;
+  const auto put = [&](const char* aId, std::int64_t aStart, int aSequence) {
+    auto target = MakeTarget(aId);
+    target.mStartedAtMs = aStart;
+    target.mSequence = static_cast<std::uint64_t>(aSequence);
+    fixture.mFeed.PutTarget(target);
+    return target;
+  };
+  const auto registerMember = [&](const fleet_member& aMember) {
+    fixture.mClock.Spawn([&fixture, aMember](yield_context aYield) {
+      static_cast<void>(fixture.mFeed.Register(aMember, kLease, aYield));
+    });
+    fixture.mClock.Advance(200ms);
+  };
+  const auto memberCount = [&] {
+    return fixture.mView.mMembers.RegisteredNames().size();
+  };
+  put("left", 1000, 5);
+  put("leaving", 1000, 5);
+  put("restarted", 1000, 5);
+  registerMember({ "i2", "a", Self().mAddress, 7 });
+  registerMember({ "i3", "a", Self().mAddress, 8 });
+  fixture.mFeed.TakeCopy();
+  fixture.mFeed.RemoveTarget("left");
+  auto leaving = put("leaving", 1000, 6);
+  leaving.mPhase = target_phase::Draining;
+  fixture.mFeed.PutTarget(leaving);
+  put("restarted", 2000, 1);
+  put("joined", 2000, 1);
+  fixture.mFeed.RemoveMember("i2");
+  registerMember({ "i4", "a", Self().mAddress, 9 });
+  fixture.mClock.Advance(1s);
+  // t1, t2, restarted and joined.
+  LONGS_EQUAL(4, fixture.ReadyCount());
+  LONGS_EQUAL(2, memberCount());
+  fixture.mFeed.RestoreCopy();
+  fixture.mClock.Advance(1s);
+
+  SECTION("the first read of the copy brings nothing back and drops nothing")
+  {
+    LONGS_EQUAL(4, fixture.ReadyCount());
+    CHECK(fixture.mView.mTargets.Find("left") == nullptr);
+    LONGS_EQUAL(2000, fixture.mView.mTargets.Find("restarted")->mStartedAtMs);
+    CHECK(fixture.mView.mMembers.Find("i2") == nullptr);
+    CHECK(fixture.mView.mMembers.Find("i4") != nullptr);
+  }
+  SECTION("neither does a second copy during the recovery")
+  {
+    fixture.mFeed.RestoreCopy();
+    fixture.mClock.Advance(1s);
+    LONGS_EQUAL(4, fixture.ReadyCount());
+    LONGS_EQUAL(2, memberCount());
+  }
+  SECTION("what is written again later than the copy counts")
+  {
+    put("left", 1000, 7);
+    put("restarted", 2000, 2);
+    registerMember({ "i2", "a", Self().mAddress, 17 });
+    fixture.mClock.Advance(200ms);
+    LONGS_EQUAL(5, fixture.ReadyCount());
+    CHECK(fixture.mView.mMembers.Find("i2") != nullptr);
+  }
+  SECTION("what is not written again within two seconds is gone")
+  {
+    fixture.mClock.Advance(3s);
+    CHECK(fixture.mView.mTargets.Find("joined") == nullptr);
+    CHECK(fixture.mView.mMembers.Find("i4") == nullptr);
+    CHECK(fixture.mView.mMembers.Find("i3") != nullptr);
+  }
+}
+
+// Guards against living targets and instances that stay left out because they
+// were taken for what only an older copy of the store lists.
+TEST(platform_sync, WhatIsAliveIsUsedAfterTheStoreCameBackFromACopy)
+{
+  sync_fixture fixture;
+  const fleet_member peer{ "i2", "a", Self().mAddress, 7 };
+  const auto registerPeer = [&] {
+    fixture.mClock.Spawn([&](yield_context aYield) {
+      static_cast<void>(fixture.mFeed.Register(peer, kLease, aYield));
+    });
+    fixture.mClock.Advance(200ms);
+  };
+  const auto isMember = [&] {
+    return fixture.mView.mMembers.Find("i2") != nullptr;
+  };
+  registerPeer();
+
+  SECTION("an instance whose registration lapsed and returned stays a member")
+  {
+    fixture.mFeed.RemoveMember("i2");
+    fixture.mClock.Advance(1s);
+    CHECK_FALSE(isMember());
+    registerPeer();
+    fixture.mFeed.DiscardHistory();
+    fixture.mClock.Advance(2s);
+    CHECK(isMember());
+  }
+  SECTION("entries that lapsed after the copy are left out at first")
+  {
+    fixture.mFeed.TakeCopy();
+    fixture.mFeed.RemoveTarget("t1");
+    fixture.mFeed.RemoveMember("i2");
+    fixture.mClock.Advance(1s);
+    fixture.mFeed.RestoreCopy();
+    fixture.mClock.Advance(5s);
+    LONGS_EQUAL(1, fixture.ReadyCount());
+    CHECK_FALSE(isMember());
+  }
+  SECTION("they count if they are still listed when the leases have ended")
+  {
+    fixture.mClock.Advance(5s);
+    LONGS_EQUAL(2, fixture.ReadyCount());
+    CHECK(isMember());
+  }
+}
+
 // Guards against a number of calls to the store that grows with the fleet, and
 // against followers that rely on a reader which has lost its connection to the
 // store or to them.
