Sync: a long outage does not shorten the grace period of a store's return

When the store was away for more than 2.5 s and came back from a copy, the few targets and instances that the copy lacked were dropped at once, although their owners had two seconds to write them again. Cause: the grace period of an outage, which spares entries only if a third of them are missing, was begun after that of the return and replaced it. The order is now the other way round.

--- a/modules/sync/platform_sync.cpp
+++ b/modules/sync/platform_sync.cpp
@@ -175,13 +175,14 @@
     OnStoreFailure(errc::StoreUnavailable, "read_all");
     return false;
   }
+  // Begins the grace period of an outage, which that of a return replaces.
+  ConfirmFreshness(requestedAt);
   if (mView.mIsComplete && generation > mPosition.mGeneration) {
     OnStoreRestored(changes->mPosition);
   }
   mPosition = changes->mPosition;
   mIsPositionValid = true;
   mLastReadAt = requestedAt;
-  ConfirmFreshness(requestedAt);
   mMustAskStore = false;
   mRecentChanges.clear();
   Apply(*changes, true);
--- a/tests/sync/test_platform_sync.cpp
+++ b/tests/sync/test_platform_sync.cpp
@@ -429,6 +429,32 @@
   }
 }
 
+// Guards against a few entries that are dropped, although their owners have two
+// seconds to write them again, because the store was away for long before it
+// came back from a copy.
+TEST(platform_sync, WhatACopyLacksGetsAGracePeriodAfterALongOutage)
+{
+  sync_fixture fixture;
+  for (int i = 3; i <= 11; ++i) {
+    fixture.mFeed.PutTarget(MakeTarget("t" + std::to_string(i)));
+  }
+  fixture.mFeed.TakeCopy();
+  fixture.mFeed.PutTarget(MakeTarget("t12"));
+  fixture.mClock.Advance(1s);
+  fixture.mFeed.SetDown(true);
+  fixture.mClock.Advance(4s);
+  fixture.mFeed.RestoreCopy();
+  fixture.mFeed.SetDown(false);
+  fixture.mClock.Advance(1500ms);
+  LONGS_EQUAL(12, fixture.ReadyCount());
+
+  SECTION("it ends two seconds after the return")
+  {
+    fixture.mClock.Advance(1s);
+    LONGS_EQUAL(11, fixture.ReadyCount());
+  }
+}
+
 // Guards against living targets and instances that stay left out because they
 // were taken for what only an older copy of the store lists.
 TEST(platform_sync, WhatIsAliveIsUsedAfterTheStoreCameBackFromACopy)
