Sync: an older copy of the store does not confirm the configuration

A key that was withdrawn right before the store came back from a copy would have worked until the operator wrote the withdrawal again, with no bound of ours: the first answer of the copy counted as the newest state. Same class: what the store says now was taken as no older than what it had acknowledged.

For 2 s after its first read of a copy (the time in which operator and targets write again) an instance does not count answers as a confirmation. The bound of the revocation ends what it serves meanwhile, as in an outage. The age that readers tell their followers is that of the state, so that followers do not turn to the store.

--- a/modules/sync/platform_sync.cpp
+++ b/modules/sync/platform_sync.cpp
@@ -175,14 +175,15 @@
     OnStoreFailure(errc::StoreUnavailable, "read_all");
     return false;
   }
-  // Begins the grace period of an outage, which that of a return replaces.
-  ConfirmFreshness(requestedAt);
+  // That of a return replaces it.
+  BeginGraceAfterOutage();
   if (mView.mIsComplete && generation > mPosition.mGeneration) {
     OnStoreRestored(changes->mPosition);
   }
   mPosition = changes->mPosition;
   mIsPositionValid = true;
   mLastReadAt = requestedAt;
+  ConfirmFreshness(requestedAt);
   mMustAskStore = false;
   mRecentChanges.clear();
   Apply(*changes, true);
@@ -216,6 +217,7 @@
     // A peer was faster: what it sent must not be replaced by older events.
     return true;
   }
+  BeginGraceAfterOutage();
   ConfirmFreshness(requestedAt);
   mMustAskStore = false;
   Apply(*changes, false);
@@ -259,8 +261,8 @@
   answer.mFromRevision = aQuestion.mKnownRevision;
   answer.mToRevision = aQuestion.mKnownRevision;
   answer.mGeneration = mPosition.mGeneration;
-  const auto age = std::min<duration>(mView.mFreshness.Age(mScheduler.Now()),
-                                      std::chrono::hours(1));
+  const auto age =
+    std::min<duration>(AgeOfState(mScheduler.Now()), std::chrono::hours(1));
   answer.mAgeMs = static_cast<std::uint32_t>(age / 1ms) + 1;
   if (aQuestion.mGeneration != mPosition.mGeneration) {
     answer.mIsPartial = true;
@@ -320,6 +322,7 @@
     if (age > mMaxReaderAge) {
       return false;
     }
+    BeginGraceAfterOutage();
     ConfirmFreshness(requestedAt - age);
     return true;
   }
@@ -397,6 +400,7 @@
   const auto graceEnd = now + kGracePeriod;
   mLapsedTargets.BeginGracePeriod(graceEnd, true);
   mLapsedMembers.BeginGracePeriod(graceEnd, true);
+  mRewriteEnd = graceEnd;
   mCopyEnd = now + kCopyLifetime;
   if (mPeers.IsReader()) {
     changes_reply notice;
@@ -412,7 +416,7 @@
 {
   const auto now = mScheduler.Now();
   const bool wasAway =
-    mLastConfirmedAt != steady_time() && mView.mFreshness.Age(now) > kMinOutage;
+    mLastConfirmedAt != steady_time() && AgeOfState(now) > kMinOutage;
   if (wasAway) {
     mLapsedTargets.BeginGracePeriod(now + kGracePeriod, false);
     mLapsedMembers.BeginGracePeriod(now + kGracePeriod, false);
@@ -423,7 +427,6 @@
 platform_sync::ConfirmFreshness(steady_time aRequestedAt)
 {
   const auto now = mScheduler.Now();
-  BeginGraceAfterOutage();
   if (!mIsConnected) {
     mIsConnected = true;
     const bool isFirst = mLastConfirmedAt == steady_time();
@@ -433,7 +436,16 @@
             isFirst ? "0" : MillisecondsText(now - mLastConfirmedAt) } });
   }
   mLastConfirmedAt = now;
-  mView.mFreshness.Confirm(aRequestedAt);
+  mSyncedAt = std::max(mSyncedAt, aRequestedAt);
+  if (aRequestedAt >= mRewriteEnd) {
+    mView.mFreshness.Confirm(aRequestedAt);
+  }
+}
+
+duration
+platform_sync::AgeOfState(steady_time aNow) const
+{
+  return mSyncedAt == steady_time::min() ? duration::max() : aNow - mSyncedAt;
 }
 
 void
--- a/modules/sync/platform_sync.h
+++ b/modules/sync/platform_sync.h
@@ -109,7 +109,12 @@
   void RemoveTarget(const std::string& aId, const char* aCause);
   void RemoveMember(const std::string& aName, const char* aCause);
   void RemoveLapsedEntries();
+  /// The store or the reader has answered a request of aRequestedAt.
   void ConfirmFreshness(steady_time aRequestedAt);
+  /// Age of the store's state that this instance has; duration::max() before
+  /// the first read. It may be that of an older copy, unlike what the view's
+  /// freshness vouches for.
+  duration AgeOfState(steady_time aNow) const;
   /// A random part of aWhole, to spread what many instances do.
   duration RandomPart(duration aWhole);
   void OnStoreFailure(std::error_code aError, const char* aCall);
@@ -144,6 +149,10 @@
   lapsed_entries mLapsedTargets;
   lapsed_entries mLapsedMembers;
   departed_entries mDeparted;
+  steady_time mSyncedAt = steady_time::min();
+  /// Until then a store that has come back from a copy may lack changes that it
+  /// had acknowledged, such as the withdrawal of a key.
+  steady_time mRewriteEnd = steady_time::min();
   /// Until then a full read may list what only an older copy of the store has.
   steady_time mCopyEnd = steady_time::min();
   /// Entries were left out as older ones, so another full read is required
--- a/tests/sync/test_platform_sync.cpp
+++ b/tests/sync/test_platform_sync.cpp
@@ -455,6 +455,48 @@
   }
 }
 
+// Guards against a withdrawn key that works for longer than the bound, because
+// the store has come back from a copy from before its withdrawal and that copy
+// passes for the newest state.
+TEST(platform_sync, AnOlderCopyDoesNotConfirmTheConfiguration)
+{
+  sync_fixture fixture;
+  fixture.mClock.Advance(1s);
+  fixture.mFeed.TakeCopy();
+  fixture.mFeed.SetDown(true);
+  // Acknowledged, but not seen by this instance.
+  fixture.mFeed.Publish(MakeConfiguration(6));
+  fixture.mClock.Advance(3s);
+  CHECK(fixture.IsFresh());
+  fixture.mFeed.RestoreCopy();
+  fixture.mFeed.SetDown(false);
+  fixture.mClock.Advance(1700ms);
+
+  SECTION("the configuration of the copy becomes stale as if still away")
+  {
+    LONGS_EQUAL(4, fixture.VersionInForce());
+    CHECK_FALSE(fixture.IsFresh());
+  }
+  SECTION("what is read after the time for writing again is confirmed")
+  {
+    fixture.mFeed.Publish(MakeConfiguration(6));
+    fixture.mClock.Advance(2s);
+    LONGS_EQUAL(6, fixture.VersionInForce());
+    CHECK(fixture.IsFresh());
+  }
+  SECTION("the next return counts as well")
+  {
+    fixture.mFeed.RestoreCopy();
+    fixture.mFeed.SetDown(true);
+    fixture.mClock.Advance(4s);
+    fixture.mFeed.SetDown(false);
+    fixture.mClock.Advance(1s);
+    CHECK_FALSE(fixture.IsFresh());
+    fixture.mClock.Advance(2s);
+    CHECK(fixture.IsFresh());
+  }
+}
+
 // Guards against living targets and instances that stay left out because they
 // were taken for what only an older copy of the store lists.
 TEST(platform_sync, WhatIsAliveIsUsedAfterTheStoreCameBackFromACopy)
