Sync: an instance that starts on an older copy waits for what is written again

An instance that started while the store had just come back from a copy believed it: nobody it knew of had seen anything newer, least of all when the whole fleet had been killed at that moment. A withdrawn key would have worked there.

The reader of each zone writes into the store which generation has been up for two seconds. That entry is itself part of a copy and then names an earlier generation, so it holds for exactly the history in which it was written, and needs no clock. Without it, a starting instance confirms its configuration after 2 s of its own, or as soon as the entry comes; requests with keys get 503 until then. The others confirm with the entry too, instead of each after its own 2 s. Weighed: asking peers for their version (knows nothing when all were killed) and the wall clock in the entry (it may jump).

AStartOnAnOlderCopyWaitsForWhatIsWrittenAgain failed before (fresh 1.9 s after the start).

--- a/modules/sync/platform_feed.h
+++ b/modules/sync/platform_feed.h
@@ -41,6 +41,13 @@
   std::string mName;
 };
 
+/// In this generation of the store, what it lacked on its return has had time
+/// to be written again.
+struct recovery_recorded
+{
+  std::uint64_t mGeneration = 0;
+};
+
 /// An entry of the store that cannot be decoded. If it is a configuration, the
 /// previous one stays in force; a target with such an entry is not used.
 struct entry_unreadable
@@ -54,6 +61,7 @@
                                     target_removed,
                                     member_changed,
                                     member_removed,
+                                    recovery_recorded,
                                     entry_unreadable>;
 
 /// A point in the store's history. Revisions of different generations cannot be
@@ -141,6 +149,11 @@
   /// number the lease of another instance could be ended.
   virtual result<void> Unregister(const fleet_member& aMember,
                                   yield_context aYield) = 0;
+
+  /// Writes a recovery_recorded entry, for all instances. errc::NotFound: the
+  /// store is of another generation by now.
+  virtual result<void> RecordRecovery(std::uint64_t aGeneration,
+                                      yield_context aYield) = 0;
 };
 
 } // namespace cowslipline
--- a/modules/sync/platform_sync.cpp
+++ b/modules/sync/platform_sync.cpp
@@ -145,9 +145,13 @@
     return Watch(1ms, aYield) || FollowReader(aYield);
   }
   const auto now = mScheduler.Now();
-  const auto untilExpiry = std::min(mLapsedTargets.TimeToExpiry(now),
-                                    mLapsedMembers.TimeToExpiry(now));
+  auto untilExpiry = std::min(mLapsedTargets.TimeToExpiry(now),
+                              mLapsedMembers.TimeToExpiry(now));
   if (mPeers.IsReader()) {
+    if (!IsRecovered()) {
+      RecordRecovery(now, aYield);
+      untilExpiry = std::min(untilExpiry, TimeToRecovery(now));
+    }
     return Watch(std::min(mWatchWait, untilExpiry), aYield);
   }
   if (!FollowReader(aYield) && !Watch(1ms, aYield)) {
@@ -177,16 +181,19 @@
   }
   // That of a return replaces it.
   BeginGraceAfterOutage();
-  if (mView.mIsComplete && generation > mPosition.mGeneration) {
+  if (!mView.mIsComplete) {
+    // It may have come back right before this instance started.
+    mRewriteEnd = mScheduler.Now() + kGracePeriod;
+  } else if (generation > mPosition.mGeneration) {
     OnStoreRestored(changes->mPosition);
   }
   mPosition = changes->mPosition;
   mIsPositionValid = true;
   mLastReadAt = requestedAt;
-  ConfirmFreshness(requestedAt);
   mMustAskStore = false;
   mRecentChanges.clear();
   Apply(*changes, true);
+  ConfirmFreshness(requestedAt);
   mView.mIsComplete = true;
   return true;
 }
@@ -218,9 +225,9 @@
     return true;
   }
   BeginGraceAfterOutage();
-  ConfirmFreshness(requestedAt);
   mMustAskStore = false;
   Apply(*changes, false);
+  ConfirmFreshness(requestedAt);
   RecordChanges(from.mRevision, *changes);
   if (!changes->mEvents.empty()) {
     mScheduler.SleepFor(kPauseAfterChanges, aYield);
@@ -437,11 +444,42 @@
   }
   mLastConfirmedAt = now;
   mSyncedAt = std::max(mSyncedAt, aRequestedAt);
-  if (aRequestedAt >= mRewriteEnd) {
+  if (IsRecovered() || aRequestedAt >= mRewriteEnd) {
     mView.mFreshness.Confirm(aRequestedAt);
   }
 }
 
+bool
+platform_sync::IsRecovered() const
+{
+  return mPosition.mGeneration == 0 ||
+         mRecoveredGeneration == mPosition.mGeneration;
+}
+
+duration
+platform_sync::TimeToRecovery(steady_time aNow) const
+{
+  return aNow < mRewriteEnd ? mRewriteEnd - aNow : duration::max();
+}
+
+void
+platform_sync::RecordRecovery(steady_time aNow, yield_context aYield)
+{
+  if (aNow < mRewriteEnd) {
+    return;
+  }
+  const auto generation = mPosition.mGeneration;
+  mMetrics.Counter("cowslipline_store_calls_total{call=\"record_recovery\"}")
+    .Add();
+  const auto recorded = mFeed.RecordRecovery(generation, aYield);
+  if (!recorded) {
+    Log(log_level::Info,
+        "store_recovery_not_recorded",
+        { { "generation", std::to_string(generation) },
+          { "reason", recorded.error().message() } });
+  }
+}
+
 duration
 platform_sync::AgeOfState(steady_time aNow) const
 {
@@ -542,6 +580,10 @@
     {
       mMissing.mMemberNames.insert(aChange.mName);
     }
+    void operator()(const recovery_recorded& aChange) const
+    {
+      mSync.OnRecoveryRecorded(aChange);
+    }
     void operator()(const entry_unreadable& aChange) const
     {
       Log(log_level::Warn,
@@ -607,6 +649,20 @@
           std::to_string(aChange.mIndex->Configuration().mRoutes.size()) } });
 }
 
+void
+platform_sync::OnRecoveryRecorded(const recovery_recorded& aRecord)
+{
+  const bool wasRecovered = IsRecovered();
+  mRecoveredGeneration = aRecord.mGeneration;
+  if (!wasRecovered && IsRecovered()) {
+    Log(log_level::Info,
+        "store_recovered",
+        { { "generation", std::to_string(aRecord.mGeneration) } });
+    // A follower has its state confirmed by the reader at once.
+    mWakeUp.Set();
+  }
+}
+
 bool
 platform_sync::IsOlderCopy(const target_entry& aRead) const
 {
--- a/modules/sync/platform_sync.h
+++ b/modules/sync/platform_sync.h
@@ -111,6 +111,15 @@
   void RemoveLapsedEntries();
   /// The store or the reader has answered a request of aRequestedAt.
   void ConfirmFreshness(steady_time aRequestedAt);
+  /// What the store lacked when it came back from a copy has had time to be
+  /// written again, according to the store.
+  bool IsRecovered() const;
+  /// duration::max() once it is time to record the recovery.
+  duration TimeToRecovery(steady_time aNow) const;
+  /// Tells all instances, also those that start later, that the store can be
+  /// relied on. Does nothing before the time for writing again has passed.
+  void RecordRecovery(steady_time aNow, yield_context aYield);
+  void OnRecoveryRecorded(const recovery_recorded& aRecord);
   /// Age of the store's state that this instance has; duration::max() before
   /// the first read. It may be that of an older copy, unlike what the view's
   /// freshness vouches for.
@@ -153,6 +162,8 @@
   /// Until then a store that has come back from a copy may lack changes that it
   /// had acknowledged, such as the withdrawal of a key.
   steady_time mRewriteEnd = steady_time::min();
+  /// The last generation that the store names as recovered.
+  std::uint64_t mRecoveredGeneration = 0;
   /// Until then a full read may list what only an older copy of the store has.
   steady_time mCopyEnd = steady_time::min();
   /// Entries were left out as older ones, so another full read is required
--- a/tests/fakes/memory_platform_feed.cpp
+++ b/tests/fakes/memory_platform_feed.cpp
@@ -66,6 +66,9 @@
   if (mState.mConfiguration) {
     changes.mEvents.push_back(*mState.mConfiguration);
   }
+  if (mState.mRecovery) {
+    changes.mEvents.push_back(*mState.mRecovery);
+  }
   for (const auto& [id, target] : mState.mTargets) {
     changes.mEvents.push_back(target_changed{ target });
   }
@@ -177,4 +180,16 @@
   return {};
 }
 
+result<void>
+memory_platform_feed::RecordRecovery(std::uint64_t aGeneration, yield_context)
+{
+  ++mCallCount;
+  if (mIsDown) {
+    return Fail(errc::StoreUnavailable);
+  }
+  mState.mRecovery = recovery_recorded{ aGeneration };
+  Record(*mState.mRecovery);
+  return aGeneration == mGeneration ? result<void>() : Fail(errc::NotFound);
+}
+
 } // namespace cowslipline::testing
--- a/tests/fakes/memory_platform_feed.h
+++ b/tests/fakes/memory_platform_feed.h
@@ -60,6 +60,8 @@
                         yield_context aYield) override;
   result<void> Unregister(const fleet_member& aMember,
                           yield_context aYield) override;
+  result<void> RecordRecovery(std::uint64_t aGeneration,
+                              yield_context aYield) override;
 
 private:
   /// What a copy of the store holds.
@@ -70,6 +72,8 @@
     std::optional<platform_event> mConfiguration;
     std::map<std::string, target_entry> mTargets;
     std::map<std::string, std::pair<fleet_member, std::uint64_t>> mMembers;
+    /// The fleet has run for a while.
+    std::optional<recovery_recorded> mRecovery{ { 1 } };
     std::uint64_t mNextLease = 1;
     std::uint64_t mOldestValidLease = 1;
   };
--- a/tests/platform/test_store_feed.cpp
+++ b/tests/platform/test_store_feed.cpp
@@ -294,5 +294,32 @@
       CHECK(feed.RenewLease(*lease, aYield).error() == errc::NotFound);
       CHECK(feed.Register(kMember, *lease, aYield).error() == errc::NotFound);
     }
+    SECTION("a recovery is recorded for the generation that has recovered")
+    {
+      CHECK(feed.RecordRecovery(3, aYield).has_value());
+      CHECK(feed.RecordRecovery(2, aYield).error() == errc::NotFound);
+      const auto item =
+        nlohmann::json::parse(fixture.mStore.mCalls.back().substr(
+          fixture.mStore.mCalls.back().find('{')))["puts"][0];
+      body =
+        R"({"items":[)" + item.dump() + R"(],"truncated":false,"as-of":7})";
+      fixture.mStore.mHandler = [&](const std::string&) {
+        return ReplyOf(generation, 200, body);
+      };
+      const auto all = feed.ReadAll(aYield);
+      CHECK(all.has_value());
+      LONGS_EQUAL(2,
+                  std::get<recovery_recorded>(all->mEvents.at(0)).mGeneration);
+    }
+    SECTION("a record of another shape is unreadable")
+    {
+      for (const auto* text : { "", "x", "-1", "2 ", "1e3" }) {
+        body = R"({"items":[)" +
+               StoreItem("cowslipline/recovered-generation", text) +
+               R"(],"truncated":false,"as-of":7})";
+        const auto all = feed.ReadAll(aYield);
+        CHECK(std::holds_alternative<entry_unreadable>(all->mEvents.at(0)));
+      }
+    }
   });
 }
--- a/tests/sync/test_platform_sync.cpp
+++ b/tests/sync/test_platform_sync.cpp
@@ -497,6 +497,56 @@
   }
 }
 
+// Guards against an instance that starts right after the store came back from a
+// copy, without any that knows more, and accepts a key that had been withdrawn.
+TEST(platform_sync, AStartOnAnOlderCopyWaitsForWhatIsWrittenAgain)
+{
+  manual_scheduler clock;
+  memory_platform_feed feed(clock);
+  feed.Publish(MakeConfiguration(4));
+  feed.TakeCopy();
+  feed.Publish(MakeConfiguration(6));
+  feed.RestoreCopy();
+  metrics registry;
+  single_instance_peers peers;
+  platform_view view(5s, Self());
+  platform_sync sync(clock, feed, view, registry, peers, 2s, 1);
+  clock.Spawn([&](yield_context aYield) { sync.Run(aYield); });
+  clock.Advance(1900ms);
+  CHECK(view.mIsComplete);
+  CHECK_FALSE(view.mFreshness.IsFresh(clock.Now()));
+  feed.Publish(MakeConfiguration(6));
+  clock.Advance(200ms);
+  CHECK(view.mFreshness.IsFresh(clock.Now()));
+  LONGS_EQUAL(6, view.mRoutes->Configuration().mVersion);
+
+  SECTION("an instance that starts after the recovery does not wait")
+  {
+    platform_view laterView(5s, Self());
+    platform_sync later(clock, feed, laterView, registry, peers, 2s, 2);
+    clock.Spawn([&](yield_context aYield) { later.Run(aYield); });
+    clock.Advance(10ms);
+    CHECK(laterView.mFreshness.IsFresh(clock.Now()));
+    later.Stop();
+    clock.Advance(10s);
+  }
+  SECTION("the next return is told from the recovery of the last one")
+  {
+    feed.TakeCopy();
+    feed.RestoreCopy();
+    platform_view laterView(5s, Self());
+    platform_sync later(clock, feed, laterView, registry, peers, 2s, 3);
+    clock.Spawn([&](yield_context aYield) { later.Run(aYield); });
+    clock.Advance(1s);
+    CHECK_FALSE(laterView.mFreshness.IsFresh(clock.Now()));
+    clock.Advance(2s);
+    CHECK(laterView.mFreshness.IsFresh(clock.Now()));
+    later.Stop();
+  }
+  sync.Stop();
+  clock.Advance(10s);
+}
+
 // Guards against living targets and instances that stay left out because they
 // were taken for what only an older copy of the store lists.
 TEST(platform_sync, WhatIsAliveIsUsedAfterTheStoreCameBackFromACopy)
