Registration: an instance registers again at once when the store has come back

An instance renewed its lease every 2 s and so noticed up to 2 s late that its registration was gone with the older copy; the others remove what the store does not list 2 s after their own first read. An instance was then no member for a moment, and its quotas changed owners twice. Cause: two unrelated timers of the same length. The sync task now wakes the registration.

--- a/modules/sync/platform_sync.cpp
+++ b/modules/sync/platform_sync.cpp
@@ -409,6 +409,7 @@
   mLapsedMembers.BeginGracePeriod(graceEnd, true);
   mRewriteEnd = graceEnd;
   mCopyEnd = now + kCopyLifetime;
+  mRestoredHandler();
   if (mPeers.IsReader()) {
     changes_reply notice;
     notice.mToRevision = aPosition.mRevision;
--- a/modules/sync/platform_sync.h
+++ b/modules/sync/platform_sync.h
@@ -8,6 +8,7 @@
 #include "modules/sync/platform_feed.h"
 
 #include <deque>
+#include <functional>
 #include <set>
 
 namespace cowslipline {
@@ -77,6 +78,12 @@
   void Run(yield_context aYield);
   void Stop() { mIsStopped = true; }
 
+  /// aHandler: called when the store has come back from an older copy.
+  void SetRestoredHandler(std::function<void()> aHandler)
+  {
+    mRestoredHandler = std::move(aHandler);
+  }
+
   /// Answers a follower of the zone that asks for changes after its revision.
   changes_reply Answer(const changes_request& aQuestion) const;
   /// Applies changes that the zone's reader has broadcast.
@@ -138,6 +145,7 @@
   duration mFollowInterval{ 0 };
   duration mMaxReaderAge{ 0 };
   event mWakeUp;
+  std::function<void()> mRestoredHandler = [] {};
   /// Latest changes, to answer followers.
   std::deque<changes_reply> mRecentChanges;
   /// The reader has broadcast changes without their text, so the next changes
--- a/modules/sync/registration.cpp
+++ b/modules/sync/registration.cpp
@@ -30,7 +30,7 @@
             { { "lease", std::to_string(lease->mId) },
               { "generation", std::to_string(lease->mGeneration) } });
       }
-      mScheduler.SleepFor(mLease ? kRenewInterval : kRetryWait, aYield);
+      mWakeUp.Wait(mScheduler, mLease ? kRenewInterval : kRetryWait, aYield);
       continue;
     }
     const auto renewed = mFeed.RenewLease(*mLease, aYield);
@@ -42,7 +42,7 @@
       mLease.reset();
       continue;
     }
-    mScheduler.SleepFor(renewed ? kRenewInterval : kRetryWait, aYield);
+    mWakeUp.Wait(mScheduler, renewed ? kRenewInterval : kRetryWait, aYield);
   }
 }
 
--- a/modules/sync/registration.h
+++ b/modules/sync/registration.h
@@ -21,6 +21,10 @@
   void Run(yield_context aYield);
   void Stop() { mIsStopped = true; }
 
+  /// Registers again now instead of with the next renewal, since the others
+  /// remove what the store does not list two seconds after its return.
+  void OnStoreRestored() { mWakeUp.Set(); }
+
   /// Removes the registration at once instead of when the lease expires. On
   /// failure it is left to expire.
   void Deregister(yield_context aYield);
@@ -30,6 +34,7 @@
   platform_feed& mFeed;
   fleet_member mSelf;
   std::optional<store_lease> mLease;
+  event mWakeUp;
   bool mIsStopped = false;
 };
 
--- a/tests/sync/test_platform_sync.cpp
+++ b/tests/sync/test_platform_sync.cpp
@@ -725,6 +725,17 @@
     clock.Advance(3s);
     LONGS_EQUAL(1, feed.MemberCount());
   }
+  SECTION("a store that came back from a copy gets it before it is missed")
+  {
+    feed.ExpireLeases();
+    feed.TakeCopy();
+    clock.Advance(3s);
+    feed.RestoreCopy();
+    LONGS_EQUAL(0, feed.MemberCount());
+    self.OnStoreRestored();
+    clock.Advance(100ms);
+    LONGS_EQUAL(1, feed.MemberCount());
+  }
   SECTION("leaving removes the registration at once")
   {
     self.Stop();
