--- a/modules/sync/platform_sync.cpp
+++ b/modules/sync/platform_sync.cpp
@@ -36,15 +36,6 @@
 // A store that has no history at all is not read more often than this.
 constexpr duration kMinReadInterval = 300ms;
 
-// Grace period for entries that expired during an outage. The operators of the
-// platform state that they are registered again within two seconds of its end.
-constexpr duration kGracePeriod = 2s;
-
-// The leases of entries that only an older copy of the store still lists have
-// expired this long after its return: those of targets run for a few
-// heartbeats, those of instances for 6 s.
-constexpr duration kCopyLifetime = 8s;
-
 // Entries may expire during an outage that lasts longer than this.
 constexpr duration kMinOutage = 2500ms;
 
@@ -68,14 +59,6 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
 }
 
-/// Entries to remove: those that a full read does not contain or that an event
-/// removes.
-struct missing_entries
-{
-  std::set<std::string> mTargetIds;
-  std::set<std::string> mMemberNames;
-};
-
 } // namespace
 
 platform_sync::platform_sync(scheduler& aScheduler,
@@ -91,6 +74,7 @@
   , mMetrics(aMetrics)
   , mPeers(aPeers)
   , mRandom(aSeed)
+  , mUpdater(aScheduler, aView)
 {
   SetConfigurationBound(aConfigurationBound);
 }
@@ -108,7 +92,7 @@
 {
   while (!mIsStopped) {
     const bool isDone = SyncOnce(aYield);
-    RemoveLapsedEntries();
+    mUpdater.RemoveLapsedEntries();
     if (!isDone && !mIsStopped) {
       mScheduler.SleepFor(kRetryWait / 2 + RandomPart(kRetryWait / 2), aYield);
     }
@@ -125,9 +109,7 @@
 bool
 platform_sync::SyncOnce(yield_context aYield)
 {
-  if (mHasSkippedEntries && mScheduler.Now() >= mCopyEnd) {
-    // What is still listed is alive: its owner renews it without changing it.
-    mHasSkippedEntries = false;
+  if (mUpdater.IsFullReadDue()) {
     mIsPositionValid = false;
     mIsReadSpread = true;
   }
@@ -145,8 +127,7 @@
     return Watch(1ms, aYield) || FollowReader(aYield);
   }
   const auto now = mScheduler.Now();
-  auto untilExpiry = std::min(mLapsedTargets.TimeToExpiry(now),
-                              mLapsedMembers.TimeToExpiry(now));
+  auto untilExpiry = mUpdater.TimeToExpiry();
   if (mPeers.IsReader()) {
     if (!IsRecovered()) {
       RecordRecovery(now, aYield);
@@ -183,7 +164,7 @@
   BeginGraceAfterOutage();
   if (!mView.mIsComplete) {
     // It may have come back right before this instance started.
-    mRewriteEnd = mScheduler.Now() + kGracePeriod;
+    mRewriteEnd = mScheduler.Now() + kRewriteTime;
   } else if (generation > mPosition.mGeneration) {
     OnStoreRestored(changes->mPosition);
   }
@@ -403,12 +384,8 @@
         { "previous_generation", std::to_string(mPosition.mGeneration) },
         { "previous_revision", std::to_string(mPosition.mRevision) } });
   mMetrics.Counter("cowslipline_store_restored_total").Add();
-  const auto now = mScheduler.Now();
-  const auto graceEnd = now + kGracePeriod;
-  mLapsedTargets.BeginGracePeriod(graceEnd, true);
-  mLapsedMembers.BeginGracePeriod(graceEnd, true);
-  mRewriteEnd = graceEnd;
-  mCopyEnd = now + kCopyLifetime;
+  mUpdater.OnStoreRestored();
+  mRewriteEnd = mScheduler.Now() + kRewriteTime;
   mRestoredHandler();
   if (mPeers.IsReader()) {
     changes_reply notice;
@@ -426,8 +403,7 @@
   const bool wasAway =
     mLastConfirmedAt != steady_time() && AgeOfState(now) > kMinOutage;
   if (wasAway) {
-    mLapsedTargets.BeginGracePeriod(now + kGracePeriod, false);
-    mLapsedMembers.BeginGracePeriod(now + kGracePeriod, false);
+    mUpdater.OnOutageEnded();
   }
 }
 
@@ -454,7 +430,7 @@
 platform_sync::IsRecovered() const
 {
   return mPosition.mGeneration == 0 ||
-         mRecoveredGeneration == mPosition.mGeneration;
+         mView.mRecoveredGeneration == mPosition.mGeneration;
 }
 
 duration
@@ -507,213 +483,15 @@
 platform_sync::Apply(const platform_changes& aChanges, bool aIsFullRead)
 {
   mPosition = aChanges.mPosition;
-  missing_entries missing;
-  if (aIsFullRead) {
-    // Known entries that a full read does not contain are missing.
-    for (const auto& [id, entry] : mView.mTargets.All()) {
-      missing.mTargetIds.insert(id);
-    }
-    const auto members = mView.mMembers.RegisteredNames();
-    missing.mMemberNames.insert(members.begin(), members.end());
-  }
-  struct visitor
-  {
-    platform_sync& mSync;
-    missing_entries& mMissing;
-    bool mIsFullRead;
-
-    void operator()(const configuration_changed& aChange) const
-    {
-      mSync.ApplyConfiguration(aChange);
-    }
-    void operator()(const target_changed& aChange) const
-    {
-      mMissing.mTargetIds.erase(aChange.mEntry.mId);
-      mSync.mLapsedTargets.OnReturned(aChange.mEntry.mId);
-      if (mIsFullRead && mSync.IsOlderCopy(aChange.mEntry)) {
-        mSync.mHasSkippedEntries = true;
-        return;
-      }
-      mSync.mDeparted.OnTargetReturned(aChange.mEntry.mId);
-      mSync.mView.mTargets.Put(aChange.mEntry);
-      // A full read contains thousands of targets; a line for each would push
-      // all other lines out of the log.
-      if (mIsFullRead) {
-        return;
-      }
-      Log(log_level::Info,
-          "target_changed",
-          { { "target", aChange.mEntry.mId },
-            { "service", aChange.mEntry.mService },
-            { "phase",
-              aChange.mEntry.mPhase == target_phase::Ready ? "ready"
-                                                           : "draining" } });
-    }
-    void operator()(const target_removed& aChange) const
-    {
-      if (mSync.mView.mTargets.Find(aChange.mId) != nullptr) {
-        mMissing.mTargetIds.insert(aChange.mId);
-      }
-    }
-    void operator()(const member_changed& aChange) const
-    {
-      if (mIsFullRead && mSync.IsOlderCopy(aChange.mMember)) {
-        mSync.mHasSkippedEntries = true;
-        return;
-      }
-      mSync.mDeparted.OnMemberReturned(aChange.mMember);
-      mMissing.mMemberNames.erase(aChange.mMember.mName);
-      mSync.mLapsedMembers.OnReturned(aChange.mMember.mName);
-      const auto* previous = mSync.mView.mMembers.Find(aChange.mMember.mName);
-      if (previous != nullptr && previous->mRunId != aChange.mMember.mRunId) {
-        mSync.mDeparted.OnMemberRemoved(*previous, mSync.mScheduler.Now());
-      }
-      mSync.mView.mMembers.Put(aChange.mMember);
-      if (mIsFullRead) {
-        return;
-      }
-      Log(log_level::Info,
-          "member_joined",
-          { { "peer", aChange.mMember.mName },
-            { "zone", aChange.mMember.mAvailabilityZone } });
-    }
-    void operator()(const member_removed& aChange) const
-    {
-      mMissing.mMemberNames.insert(aChange.mName);
-    }
-    void operator()(const recovery_recorded& aChange) const
-    {
-      mSync.OnRecoveryRecorded(aChange);
-    }
-    void operator()(const entry_unreadable& aChange) const
-    {
-      Log(log_level::Warn,
-          "entry_unreadable",
-          { { "key", aChange.mKey }, { "reason", aChange.mReason } });
-    }
-  };
-  for (const auto& event : aChanges.mEvents) {
-    std::visit(visitor{ *this, missing, aIsFullRead }, event);
-  }
-  RemoveMissing(missing.mTargetIds, missing.mMemberNames);
-  if (aIsFullRead) {
-    Log(log_level::Info,
-        "store_read",
-        { { "revision", std::to_string(mPosition.mRevision) },
-          { "generation", std::to_string(mPosition.mGeneration) },
-          { "targets", std::to_string(mView.mTargets.All().size()) },
-          { "members",
-            std::to_string(mView.mMembers.RegisteredNames().size()) } });
-  }
-}
-
-void
-platform_sync::RemoveMissing(const std::set<std::string>& aTargets,
-                             const std::set<std::string>& aMembers)
-{
-  const auto now = mScheduler.Now();
-  const std::vector<std::string> targets(aTargets.begin(), aTargets.end());
-  const auto knownTargets = mView.mTargets.All().size();
-  for (const auto& id :
-       mLapsedTargets.SelectForRemoval(targets, knownTargets, now)) {
-    RemoveTarget(id, "removed");
-  }
-  const std::vector<std::string> members(aMembers.begin(), aMembers.end());
-  const auto knownMembers = mView.mMembers.RegisteredNames().size();
-  for (const auto& name :
-       mLapsedMembers.SelectForRemoval(members, knownMembers, now)) {
-    RemoveMember(name, "removed");
-  }
-}
-
-void
-platform_sync::ApplyConfiguration(const configuration_changed& aChange)
-{
-  const auto version = aChange.mIndex->Configuration().mVersion;
-  const auto inForce =
-    mView.mRoutes ? mView.mRoutes->Configuration().mVersion : 0;
-  if (mView.mRoutes && version <= inForce) {
-    if (version < inForce) {
-      Log(log_level::Info,
-          "configuration_older",
-          { { "version", std::to_string(version) },
-            { "in_force", std::to_string(inForce) } });
-    }
-    return;
-  }
-  mView.mRoutes = aChange.mIndex;
-  Log(log_level::Info,
-      "configuration_in_force",
-      { { "version", std::to_string(version) },
-        { "previous", std::to_string(inForce) },
-        { "routes",
-          std::to_string(aChange.mIndex->Configuration().mRoutes.size()) } });
-}
-
-void
-platform_sync::OnRecoveryRecorded(const recovery_recorded& aRecord)
-{
   const bool wasRecovered = IsRecovered();
-  mRecoveredGeneration = aRecord.mGeneration;
+  mUpdater.Apply(aChanges, aIsFullRead);
   if (!wasRecovered && IsRecovered()) {
     Log(log_level::Info,
         "store_recovered",
-        { { "generation", std::to_string(aRecord.mGeneration) } });
+        { { "generation", std::to_string(mPosition.mGeneration) } });
     // A follower has its state confirmed by the reader at once.
     mWakeUp.Set();
   }
 }
 
-bool
-platform_sync::IsOlderCopy(const target_entry& aRead) const
-{
-  if (mScheduler.Now() >= mCopyEnd) {
-    return false;
-  }
-  const auto* known = mView.mTargets.Find(aRead.mId);
-  return known != nullptr ? IsOlder(aRead, *known) : mDeparted.HasLeft(aRead);
-}
-
-bool
-platform_sync::IsOlderCopy(const fleet_member& aRead) const
-{
-  return mScheduler.Now() < mCopyEnd && mDeparted.HasLeft(aRead);
-}
-
-void
-platform_sync::RemoveTarget(const std::string& aId, const char* aCause)
-{
-  if (const auto* known = mView.mTargets.Find(aId)) {
-    mDeparted.OnTargetRemoved(*known, mScheduler.Now());
-  }
-  mView.mTargets.Remove(aId);
-  Log(log_level::Info,
-      "target_removed",
-      { { "target", aId }, { "cause", aCause } });
-}
-
-void
-platform_sync::RemoveMember(const std::string& aName, const char* aCause)
-{
-  if (const auto* known = mView.mMembers.Find(aName)) {
-    mDeparted.OnMemberRemoved(*known, mScheduler.Now());
-  }
-  mView.mMembers.Remove(aName);
-  Log(
-    log_level::Info, "member_left", { { "peer", aName }, { "cause", aCause } });
-}
-
-void
-platform_sync::RemoveLapsedEntries()
-{
-  const auto now = mScheduler.Now();
-  for (const auto& id : mLapsedTargets.TakeExpired(now)) {
-    RemoveTarget(id, "lapsed");
-  }
-  for (const auto& name : mLapsedMembers.TakeExpired(now)) {
-    RemoveMember(name, "lapsed");
-  }
-  mDeparted.Prune(now);
-}
-
 } // namespace cowslipline
--- a/modules/sync/platform_sync.h
+++ b/modules/sync/platform_sync.h
@@ -3,35 +3,13 @@
 #include "core/metrics.h"
 #include "core/random.h"
 #include "modules/sharing/peer_message.h"
-#include "modules/sync/departed_entries.h"
-#include "modules/sync/lapsed_entries.h"
-#include "modules/sync/platform_feed.h"
+#include "modules/sync/view_updater.h"
 
 #include <deque>
 #include <functional>
-#include <set>
 
 namespace cowslipline {
 
-/// Local copy of the store's state: routes, targets and members. Requests read
-/// it and the sync task writes it. Both run on one thread, so there is no lock.
-struct platform_view
-{
-  platform_view(duration aRevocationBound, fleet_member aSelf)
-    : mFreshness(aRevocationBound)
-    , mMembers(std::move(aSelf))
-  {
-  }
-
-  /// Null until the first configuration has been read.
-  std::shared_ptr<const route_index> mRoutes;
-  configuration_freshness mFreshness;
-  target_directory mTargets;
-  member_table mMembers;
-  /// The store has been read in full at least once since the start.
-  bool mIsComplete = false;
-};
-
 /// Messages between platform_sync and the other instances of its availability
 /// zone, one of which is the zone's reader.
 class sync_peers
@@ -106,16 +84,6 @@
   /// Another instance has reached a later generation of the store.
   void OnLaterGeneration(std::uint64_t aGeneration);
   void Apply(const platform_changes& aChanges, bool aIsFullRead);
-  void ApplyConfiguration(const configuration_changed& aChange);
-  void RemoveMissing(const std::set<std::string>& aTargets,
-                     const std::set<std::string>& aMembers);
-  /// True if the store has come back from an older copy, and a full read has
-  /// the entry in an older state than is known.
-  bool IsOlderCopy(const target_entry& aRead) const;
-  bool IsOlderCopy(const fleet_member& aRead) const;
-  void RemoveTarget(const std::string& aId, const char* aCause);
-  void RemoveMember(const std::string& aName, const char* aCause);
-  void RemoveLapsedEntries();
   /// The store or the reader has answered a request of aRequestedAt.
   void ConfirmFreshness(steady_time aRequestedAt);
   /// What the store lacked when it came back from a copy has had time to be
@@ -126,7 +94,6 @@
   /// Tells all instances, also those that start later, that the store can be
   /// relied on. Does nothing before the time for writing again has passed.
   void RecordRecovery(steady_time aNow, yield_context aYield);
-  void OnRecoveryRecorded(const recovery_recorded& aRecord);
   /// Age of the store's state that this instance has; duration::max() before
   /// the first read. It may be that of an older copy, unlike what the view's
   /// freshness vouches for.
@@ -163,20 +130,11 @@
   /// When the store or the reader last answered; steady_time() before the first
   /// answer.
   steady_time mLastConfirmedAt;
-  lapsed_entries mLapsedTargets;
-  lapsed_entries mLapsedMembers;
-  departed_entries mDeparted;
+  view_updater mUpdater;
   steady_time mSyncedAt = steady_time::min();
   /// Until then a store that has come back from a copy may lack changes that it
   /// had acknowledged, such as the withdrawal of a key.
   steady_time mRewriteEnd = steady_time::min();
-  /// The last generation that the store names as recovered.
-  std::uint64_t mRecoveredGeneration = 0;
-  /// Until then a full read may list what only an older copy of the store has.
-  steady_time mCopyEnd = steady_time::min();
-  /// Entries were left out as older ones, so another full read is required
-  /// after mCopyEnd.
-  bool mHasSkippedEntries = false;
 };
 
 } // namespace cowslipline
--- a/modules/sync/sync.h
+++ b/modules/sync/sync.h
@@ -7,3 +7,4 @@
 #include "modules/sync/platform_feed.h"
 #include "modules/sync/platform_sync.h"
 #include "modules/sync/registration.h"
+#include "modules/sync/view_updater.h"
