Fleet: a call that times out while its link is being opened does not close the link

Other calls on the link failed. Trace: the time since which a link is silent was that of its last reply or its opening, and a link that is still being opened has neither, so its first timeout counted as silence since the start of the clock.

ATimeoutWhileConnectingLeavesOtherCallsAlone failed before (the other call had no answer).

--- a/modules/fleet/websocket_peer_channel.cpp
+++ b/modules/fleet/websocket_peer_channel.cpp
@@ -166,6 +166,7 @@
   }
   auto link = std::make_shared<peer_link>();
   link->mName = aTo;
+  link->mOpenedAt = mScheduler.Now();
   mLinks[aTo] = link;
   mScheduler.Spawn(
     [this, link](yield_context aYield) { RunLink(link, aYield); });
--- a/modules/fleet/websocket_peer_channel.h
+++ b/modules/fleet/websocket_peer_channel.h
@@ -76,7 +76,7 @@
     std::map<std::uint64_t, std::shared_ptr<pending_call>> mCalls;
     steady_time mLastUse;
     steady_time mLastReply;
-    steady_time mOpenedAt;
+    steady_time mOpenedAt; ///< Of the attempt while it is being opened.
   };
   using link_pointer = std::shared_ptr<peer_link>;
 
--- a/tests/fleet/test_peer_channel.cpp
+++ b/tests/fleet/test_peer_channel.cpp
@@ -140,6 +140,35 @@
   });
 }
 
+// Guards against a call that times out while the connection is being opened and
+// breaks it under the other calls on it.
+TEST(peer_channel, ATimeoutWhileConnectingLeavesOtherCallsAlone)
+{
+  auto left = OpenChannel(mScheduler, mMetrics, "left");
+  auto right = OpenChannel(mScheduler, mMetrics, "right");
+  left->SetAddress("right", AddressOf(*right));
+  right->Handle(
+    "echo",
+    [](const instance_name&,
+       std::string_view aPayload,
+       yield_context) -> result<std::string> { return std::string(aPayload); });
+  std::optional<bool> isAnswered;
+  mScheduler.Spawn([&](yield_context aYield) {
+    isAnswered = left->Call("right", "echo", "", 30s, aYield).has_value();
+  });
+  RunTask([&](yield_context aYield) {
+    // The connection needs at least one turn of the event loop.
+    CHECK(left->Call("right", "echo", "", 0ms, aYield).error() ==
+          errc::PeerTimeout);
+    while (!isAnswered) {
+      mScheduler.SleepFor(1ms, aYield);
+    }
+    CHECK(*isAnswered);
+    left->Stop();
+    right->Stop();
+  });
+}
+
 // Guards against a foreign process that joins, and against an old process that
 // still talks after its instance was restarted.
 TEST(peer_channel, IgnoresForeignAndOldProcesses)
