Registration: an instance that an older copy lists keeps its lease

At the store's return each instance wrote twice to register again, also those whose registration the copy has: 4,600 writes at the target size, more than the store takes in the 2 s after which the others miss whoever is not listed. Cause: any lease of an earlier generation counted as ended. A lease under which the copy lists this very process (its random number) was granted before the copy was taken, and the numbers that are given out again are later ones. A renewal that meets another generation now waits for the full read, at most 1.2 s, before it gives the lease up.

--- a/modules/proxy/proxy_instance.cpp
+++ b/modules/proxy/proxy_instance.cpp
@@ -107,7 +107,9 @@
   , mMetricsPage(aScheduler.Context(),
                  [this](std::string_view aPath) { return RenderPage(aPath); })
 {
-  mSync.SetRestoredHandler([this] { mRegistration.OnStoreRestored(); });
+  mSync.SetRestoredHandler([this](const store_lease& aListed) {
+    mRegistration.OnStoreRestored(aListed);
+  });
   mLink->SetHandler(
     [this](const peer_message& aMessage, const udp_endpoint& aFrom) {
       OnPeerMessage(aMessage, aFrom);
--- a/modules/sync/platform_feed.h
+++ b/modules/sync/platform_feed.h
@@ -33,6 +33,7 @@
 struct member_changed
 {
   fleet_member mMember;
+  std::uint64_t mLeaseId = 0; ///< Under which the entry was written.
 };
 
 /// An instance's registration was deleted, or its lease ended.
@@ -113,7 +114,7 @@
 /// and registers this instance under a lease. Errors of all calls that take a
 /// yield_context: errc::StoreUnavailable (the call had no effect),
 /// errc::StoreAnswerLost (the call may have taken effect), errc::NotFound for a
-/// lease that has ended or is of an earlier generation.
+/// lease that has ended.
 class platform_feed
 {
 public:
@@ -138,10 +139,13 @@
   /// Creates a lease that ends when it is not renewed within aTimeToLive.
   virtual result<store_lease> GrantLease(duration aTimeToLive,
                                          yield_context aYield) = 0;
+  /// Further error: errc::HistoryLost, a lease with this number exists in
+  /// another generation, and may be another instance's.
   virtual result<void> RenewLease(const store_lease& aLease,
                                   yield_context aYield) = 0;
 
-  /// Writes the member's registration under the lease.
+  /// Writes the member's registration under the lease. errc::NotFound also when
+  /// the lease is of another generation.
   virtual result<void> Register(const fleet_member& aMember,
                                 const store_lease& aLease,
                                 yield_context aYield) = 0;
--- a/modules/sync/platform_sync.cpp
+++ b/modules/sync/platform_sync.cpp
@@ -162,10 +162,12 @@
   }
   // That of a return replaces it.
   BeginGraceAfterOutage();
+  const bool isRestored =
+    mView.mIsComplete && generation > mPosition.mGeneration;
   if (!mView.mIsComplete) {
     // It may have come back right before this instance started.
     mRewriteEnd = mScheduler.Now() + kRewriteTime;
-  } else if (generation > mPosition.mGeneration) {
+  } else if (isRestored) {
     OnStoreRestored(changes->mPosition);
   }
   mPosition = changes->mPosition;
@@ -174,6 +176,9 @@
   mMustAskStore = false;
   mRecentChanges.clear();
   Apply(*changes, true);
+  if (isRestored) {
+    mRestoredHandler({ mUpdater.ListedLease(), generation });
+  }
   ConfirmFreshness(requestedAt);
   mView.mIsComplete = true;
   return true;
@@ -386,7 +391,6 @@
   mMetrics.Counter("cowslipline_store_restored_total").Add();
   mUpdater.OnStoreRestored();
   mRewriteEnd = mScheduler.Now() + kRewriteTime;
-  mRestoredHandler();
   if (mPeers.IsReader()) {
     changes_reply notice;
     notice.mToRevision = aPosition.mRevision;
--- a/modules/sync/platform_sync.h
+++ b/modules/sync/platform_sync.h
@@ -56,8 +56,9 @@
   void Run(yield_context aYield);
   void Stop() { mIsStopped = true; }
 
-  /// aHandler: called when the store has come back from an older copy.
-  void SetRestoredHandler(std::function<void()> aHandler)
+  /// aHandler: called when the store has come back from an older copy, with the
+  /// lease under which that lists this instance; its id is 0 if it does not.
+  void SetRestoredHandler(std::function<void(const store_lease&)> aHandler)
   {
     mRestoredHandler = std::move(aHandler);
   }
@@ -112,7 +113,8 @@
   duration mFollowInterval{ 0 };
   duration mMaxReaderAge{ 0 };
   event mWakeUp;
-  std::function<void()> mRestoredHandler = [] {};
+  std::function<void(const store_lease&)> mRestoredHandler =
+    [](const store_lease&) {};
   /// Latest changes, to answer followers.
   std::deque<changes_reply> mRecentChanges;
   /// The reader has broadcast changes without their text, so the next changes
--- a/modules/sync/registration.cpp
+++ b/modules/sync/registration.cpp
@@ -15,6 +15,10 @@
 constexpr duration kRenewInterval = 2s;
 constexpr duration kRetryWait = 700ms;
 
+// Within this time all instances have read a store that has come back from a
+// copy; then it is left to register again before the others miss this one.
+constexpr duration kRestoredReadWait = 1200ms;
+
 } // namespace
 
 void
@@ -33,17 +37,37 @@
       mWakeUp.Wait(mScheduler, mLease ? kRenewInterval : kRetryWait, aYield);
       continue;
     }
-    const auto renewed = mFeed.RenewLease(*mLease, aYield);
-    if (!renewed && renewed.error() == errc::NotFound) {
+    // A copy: leaving resets the lease while the reply is awaited.
+    const auto lease = *mLease;
+    const auto renewed = mFeed.RenewLease(lease, aYield);
+    const bool isOfLaterGeneration =
+      !renewed && renewed.error() == errc::HistoryLost;
+    const bool hasEnded = (!renewed && renewed.error() == errc::NotFound) ||
+                          (isOfLaterGeneration && mIsLeaseDoubtful);
+    mIsLeaseDoubtful = isOfLaterGeneration && !hasEnded;
+    if (hasEnded) {
       Log(log_level::Warn,
           "registration_lapsed",
-          { { "lease", std::to_string(mLease->mId) },
-            { "generation", std::to_string(mLease->mGeneration) } });
+          { { "lease", std::to_string(lease.mId) },
+            { "generation", std::to_string(lease.mGeneration) } });
       mLease.reset();
       continue;
     }
-    mWakeUp.Wait(mScheduler, renewed ? kRenewInterval : kRetryWait, aYield);
+    const auto retry = mIsLeaseDoubtful ? kRestoredReadWait : kRetryWait;
+    mWakeUp.Wait(mScheduler, renewed ? kRenewInterval : retry, aYield);
+  }
+}
+
+void
+registration::OnStoreRestored(const store_lease& aListed)
+{
+  if (mLease && aListed.mId != 0 && aListed.mId == mLease->mId) {
+    mLease = aListed;
+    mIsLeaseDoubtful = false;
+    return;
   }
+  mIsLeaseDoubtful = true;
+  mWakeUp.Set();
 }
 
 void
--- a/modules/sync/registration.h
+++ b/modules/sync/registration.h
@@ -21,9 +21,12 @@
   void Run(yield_context aYield);
   void Stop() { mIsStopped = true; }
 
-  /// Registers again now instead of with the next renewal, since the others
-  /// remove what the store does not list two seconds after its return.
-  void OnStoreRestored() { mWakeUp.Set(); }
+  /// The store has come back from an older copy. Keeps a lease under which the
+  /// copy lists this process: it was granted before the copy was taken, so its
+  /// number was not given out again. Otherwise registers again now, since the
+  /// others remove what the store does not list two seconds after its return.
+  /// aListed: id 0 if the copy does not list it.
+  void OnStoreRestored(const store_lease& aListed);
 
   /// Removes the registration at once instead of when the lease expires. On
   /// failure it is left to expire.
@@ -34,6 +37,9 @@
   platform_feed& mFeed;
   fleet_member mSelf;
   std::optional<store_lease> mLease;
+  /// The store is of a later generation than mLease. OnStoreRestored() tells
+  /// whether the lease still counts.
+  bool mIsLeaseDoubtful = false;
   event mWakeUp;
   bool mIsStopped = false;
 };
--- a/modules/sync/view_updater.cpp
+++ b/modules/sync/view_updater.cpp
@@ -24,6 +24,7 @@
   missing_entries missing;
   if (aIsFullRead) {
     mHasSkippedEntries = false;
+    mListedLease = 0;
     // Known entries that a full read does not contain are missing.
     for (const auto& [id, entry] : mView.mTargets.All()) {
       missing.mTargetIds.insert(id);
@@ -76,6 +77,11 @@
         mUpdater.mHasSkippedEntries = true;
         return;
       }
+      const auto& self = mUpdater.mView.mMembers.Self();
+      if (mIsFullRead && aChange.mMember.mName == self.mName &&
+          aChange.mMember.mRunId == self.mRunId) {
+        mUpdater.mListedLease = aChange.mLeaseId;
+      }
       mUpdater.mDeparted.OnMemberReturned(aChange.mMember);
       mMissing.mMemberNames.erase(aChange.mMember.mName);
       mUpdater.mLapsedMembers.OnReturned(aChange.mMember.mName);
--- a/modules/sync/view_updater.h
+++ b/modules/sync/view_updater.h
@@ -61,6 +61,10 @@
   /// Removes what has not been written again in time.
   void RemoveLapsedEntries();
 
+  /// The lease under which the last full read lists this process's own
+  /// registration; 0 if it does not.
+  std::uint64_t ListedLease() const { return mListedLease; }
+
   /// Entries were left out as older ones. What is still listed now is alive:
   /// its owner renews it without changing it.
   bool IsFullReadDue() const;
@@ -91,6 +95,7 @@
   /// Until then a full read may list what only an older copy of the store has.
   steady_time mCopyEnd = steady_time::min();
   bool mHasSkippedEntries = false;
+  std::uint64_t mListedLease = 0;
 };
 
 } // namespace cowslipline
--- a/tests/fakes/memory_platform_feed.h
+++ b/tests/fakes/memory_platform_feed.h
@@ -44,7 +44,13 @@
   void RemoveMember(const std::string& aName);
   /// Number of calls that reached the store, failed ones included.
   int CallCount() const { return mCallCount; }
+  /// Calls that write, as far as they reached the store.
+  int WriteCount() const { return mWriteCount; }
   std::size_t MemberCount() const { return mState.mMembers.size(); }
+  std::uint64_t LeaseOf(const std::string& aName) const
+  {
+    return mState.mMembers.at(aName).second;
+  }
 
   result<platform_changes> ReadAll(yield_context aYield) override;
   result<platform_changes> Watch(const store_position& aAfter,
@@ -87,6 +93,7 @@
   std::uint64_t mOldestRevision = 0;
   bool mIsDown = false;
   int mCallCount = 0;
+  int mWriteCount = 0;
   event mChanged;
 };
 
