Placement: limits belong to a run of the target, whichever of its starts reads later

A target that had restarted after its clock was set back could name a limit in vain: the table kept one record a target, took the run with the larger start as the newer one, and left out what the other named for up to a minute, so each instance sent without permits. Same class as the store's revisions: a larger number taken as newer.

Each run has its own record now, found by id and start alike. Which run is over is told from what arrives: an answer without a limit ends those that other runs named before its request was sent.

--- a/modules/placement/target_rate_limits.cpp
+++ b/modules/placement/target_rate_limits.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <limits>
 
 namespace cowslipline {
 
@@ -75,15 +76,14 @@
                             steady_time aNamedAt,
                             steady_time aNow)
 {
-  const auto inserted = mRecords.try_emplace(std::string(aTarget.mId));
+  const auto inserted =
+    mRecords.try_emplace({ std::string(aTarget.mId), aTarget.mStartedAtMs });
   auto& known = inserted.first->second;
-  const bool isNew =
-    inserted.second || known.mStartedAtMs < aTarget.mStartedAtMs;
-  if (isNew) {
-    known = { aTarget.mStartedAtMs, aRate, aNamedAt, aNow, aNow, 0, {} };
+  if (inserted.second) {
+    known = { aRate, aNamedAt, aNow, aNow, 0, {} };
     return limit_change::Limited;
   }
-  if (known.mStartedAtMs > aTarget.mStartedAtMs || aNamedAt < known.mNamedAt) {
+  if (aNamedAt < known.mNamedAt) {
     return limit_change::None;
   }
   const bool isChanged =
@@ -104,33 +104,49 @@
 limit_change
 target_rate_limits::OnCleared(const target_run& aTarget, steady_time aSentAt)
 {
-  const auto found = mRecords.find(aTarget.mId);
-  if (found == mRecords.end()) {
-    return limit_change::None;
-  }
-  auto& known = found->second;
-  if (known.mStartedAtMs < aTarget.mStartedAtMs) {
-    mRecords.erase(found);
-    return limit_change::Lifted;
+  const bool hasEarlierEnded = RemoveOtherRuns(aTarget, aSentAt);
+  auto* known = Find(aTarget);
+  if (known == nullptr) {
+    return hasEarlierEnded ? limit_change::Lifted : limit_change::None;
   }
-  if (known.mStartedAtMs > aTarget.mStartedAtMs || aSentAt <= known.mNamedAt) {
+  if (aSentAt <= known->mNamedAt) {
     return limit_change::None;
   }
-  if (++known.mClearAnswers < kAnswersToLift) {
+  if (++known->mClearAnswers < kAnswersToLift) {
     return limit_change::Cleared;
   }
-  mRecords.erase(found);
+  mRecords.erase(mRecords.find(aTarget));
   return limit_change::Lifted;
 }
 
+bool
+target_rate_limits::RemoveOtherRuns(const target_run& aTarget,
+                                    steady_time aSentAt)
+{
+  constexpr auto kEarliestStart = std::numeric_limits<std::int64_t>::min();
+  bool isAnyRemoved = false;
+  auto entry = mRecords.lower_bound(target_run{ aTarget.mId, kEarliestStart });
+  while (entry != mRecords.end() && entry->first.mId == aTarget.mId) {
+    const bool isOver = entry->first.mStartedAtMs != aTarget.mStartedAtMs &&
+                        entry->second.mNamedAt < aSentAt;
+    isAnyRemoved = isAnyRemoved || isOver;
+    entry = isOver ? mRecords.erase(entry) : std::next(entry);
+  }
+  return isAnyRemoved;
+}
+
+target_rate_limits::record*
+target_rate_limits::Find(const target_run& aTarget)
+{
+  const auto found = mRecords.find(aTarget);
+  return found == mRecords.end() ? nullptr : &found->second;
+}
+
 const target_rate_limits::record*
 target_rate_limits::Find(const target_run& aTarget) const
 {
-  const auto found = mRecords.find(aTarget.mId);
-  return found != mRecords.end() &&
-             found->second.mStartedAtMs == aTarget.mStartedAtMs
-           ? &found->second
-           : nullptr;
+  const auto found = mRecords.find(aTarget);
+  return found == mRecords.end() ? nullptr : &found->second;
 }
 
 std::optional<double>
@@ -143,9 +159,8 @@
 void
 target_rate_limits::OnOwnerReply(const target_run& aTarget, steady_time aNow)
 {
-  const auto found = mRecords.find(aTarget.mId);
-  if (found != mRecords.end()) {
-    found->second.mHeardAt = aNow;
+  if (auto* known = Find(aTarget)) {
+    known->mHeardAt = aNow;
   }
 }
 
@@ -155,11 +170,9 @@
                               duration aRetryAfter,
                               steady_time aNow)
 {
-  const auto found = mRecords.find(aTarget.mId);
-  if (found != mRecords.end()) {
-    found->second.mRefusals[aPriority] = {
-      aNow + std::min(aRetryAfter, kMaxBlock), aNow + aRetryAfter
-    };
+  if (auto* known = Find(aTarget)) {
+    known->mRefusals[aPriority] = { aNow + std::min(aRetryAfter, kMaxBlock),
+                                    aNow + aRetryAfter };
   }
 }
 
@@ -198,9 +211,9 @@
 {
   std::vector<target_limit_state> states;
   states.reserve(mRecords.size());
-  for (const auto& [id, known] : mRecords) {
+  for (const auto& [run, known] : mRecords) {
     states.push_back(
-      { id, known.mStartedAtMs, known.mRate, aNow - known.mNamedAt });
+      { run.mId, run.mStartedAtMs, known.mRate, aNow - known.mNamedAt });
   }
   return states;
 }
--- a/modules/placement/target_rate_limits.h
+++ b/modules/placement/target_rate_limits.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace cowslipline {
@@ -106,9 +107,30 @@
     steady_time mPermitExpectedAt;
   };
 
-  struct record
+  /// A target_run that owns its text.
+  struct run_key
   {
+    std::string mId;
     std::int64_t mStartedAtMs = 0;
+
+    operator target_run() const { return { mId, mStartedAtMs }; }
+  };
+
+  /// An order for the table only. Which run is the later one cannot be told
+  /// from it: the target's clock may have been set back in between.
+  struct run_order
+  {
+    using is_transparent = void;
+
+    bool operator()(const target_run& aLeft, const target_run& aRight) const
+    {
+      return std::tie(aLeft.mId, aLeft.mStartedAtMs) <
+             std::tie(aRight.mId, aRight.mStartedAtMs);
+    }
+  };
+
+  struct record
+  {
     double mRate = 0;
     steady_time mNamedAt; ///< Arrival of the last answer that named it.
     steady_time mHeardAt; ///< Anything that shows that it is in use.
@@ -122,9 +144,13 @@
                        steady_time aNamedAt,
                        steady_time aNow);
   limit_change OnCleared(const target_run& aTarget, steady_time aSentAt);
+  /// Removes the limits of other runs of the target that were named before a
+  /// request was sent to this one. True if there were any.
+  bool RemoveOtherRuns(const target_run& aTarget, steady_time aSentAt);
+  record* Find(const target_run& aTarget);
   const record* Find(const target_run& aTarget) const;
 
-  std::map<std::string, record, std::less<>> mRecords;
+  std::map<run_key, record, run_order> mRecords;
 };
 
 } // namespace cowslipline
