Registration: an instance registers when it has read the store

Two instances granted the whole rate for about a second: an instance registered while it still read the store, was asked as the first owner, could not answer without the configuration, and was skipped for a second by those that had asked; they went on asking the owner that it had replaced, while the others asked it as soon as it answered.

It now registers once the state is complete, so that it answers from the moment at which others know it. That removes the overlap itself; a former owner that grants a part only would refuse requests within the quota for as long.

--- a/modules/proxy/proxy_instance.cpp
+++ b/modules/proxy/proxy_instance.cpp
@@ -23,7 +23,7 @@
 constexpr duration kExitMargin = 300ms;
 
 constexpr duration kDrainPoll = 20ms;
-constexpr duration kReadyPoll = 50ms;
+constexpr duration kReadyPoll = 20ms;
 
 } // namespace
 
@@ -122,7 +122,8 @@
 proxy_instance::Start()
 {
   mScheduler.Spawn([this](yield_context aYield) { mSync.Run(aYield); });
-  mScheduler.Spawn([this](yield_context aYield) { mRegistration.Run(aYield); });
+  mScheduler.Spawn(
+    [this](yield_context aYield) { RegisterOnceReady(aYield); });
   mScheduler.Spawn([this](yield_context aYield) { RunHousekeeping(aYield); });
   mScheduler.Spawn([this](yield_context aYield) { RunLoadReports(aYield); });
   mScheduler.Spawn(
@@ -268,11 +269,26 @@
 }
 
 void
-proxy_instance::RequestLimitsOnceReady(yield_context aYield)
+proxy_instance::WaitForState(yield_context aYield)
 {
   while (!mIsStopped && !mView.mIsComplete) {
     mScheduler.SleepFor(kReadyPoll, aYield);
   }
+}
+
+void
+proxy_instance::RegisterOnceReady(yield_context aYield)
+{
+  // A registered instance is asked as an owner, and cannot answer without the
+  // configuration.
+  WaitForState(aYield);
+  mRegistration.Run(aYield);
+}
+
+void
+proxy_instance::RequestLimitsOnceReady(yield_context aYield)
+{
+  WaitForState(aYield);
   mReports.RequestLimits();
 }
 
--- a/modules/proxy/proxy_instance.h
+++ b/modules/proxy/proxy_instance.h
@@ -54,6 +54,9 @@
   quota_limit LimitOf(std::string_view aOrganisation) const;
   void RunHousekeeping(yield_context aYield);
   void RunLoadReports(yield_context aYield);
+  /// Waits until the store has been read in full, or the instance stops.
+  void WaitForState(yield_context aYield);
+  void RegisterOnceReady(yield_context aYield);
   void RequestLimitsOnceReady(yield_context aYield);
   std::string RenderGauges() const;
 
--- a/tests/fakes/memory_platform_feed.cpp
+++ b/tests/fakes/memory_platform_feed.cpp
@@ -55,9 +55,12 @@
 }
 
 result<platform_changes>
-memory_platform_feed::ReadAll(yield_context)
+memory_platform_feed::ReadAll(yield_context aYield)
 {
   ++mCallCount;
+  if (mReadTime > duration(0)) {
+    mScheduler.SleepFor(mReadTime, aYield);
+  }
   if (mIsDown) {
     return Fail(errc::StoreUnavailable);
   }
--- a/tests/fakes/memory_platform_feed.h
+++ b/tests/fakes/memory_platform_feed.h
@@ -38,6 +38,8 @@
   /// While down, all calls except Unregister() fail with
   /// errc::StoreUnavailable.
   void SetDown(bool aIsDown) { mIsDown = aIsDown; }
+  /// Time that a full read takes from now on.
+  void SetReadTime(duration aTime) { mReadTime = aTime; }
   /// Ends all leases granted so far and removes all members without an event.
   void ExpireLeases();
   /// Removes the member's registration, with an event.
@@ -92,6 +94,7 @@
   std::uint64_t mGeneration = 1;
   std::uint64_t mOldestRevision = 0;
   bool mIsDown = false;
+  duration mReadTime{ 0 };
   int mCallCount = 0;
   int mWriteCount = 0;
   event mChanged;
