Membership: a process that registered while its predecessor was asked is not skipped

A question that the predecessor of a restarted instance left without an answer ended up to 150 ms after the new process had registered, and then the new one was skipped for a second: its quotas, repeats and permits were asked of the second owner meanwhile. Found by reading, after the overlap of two owners of a quota. OnNoReply takes the registration that was asked, and skips that process only.

--- a/modules/proxy/zone_sync_peers.cpp
+++ b/modules/proxy/zone_sync_peers.cpp
@@ -44,7 +44,7 @@
       return mAnswer;
     }
   }
-  mMembers.OnNoReply(reader.mName, mScheduler.Now());
+  mMembers.OnNoReply(reader, mScheduler.Now());
   Log(log_level::Warn, "reader_no_reply", { { "peer", reader.mName } });
   return std::nullopt;
 }
--- a/modules/sharing/member_table.cpp
+++ b/modules/sharing/member_table.cpp
@@ -79,10 +79,11 @@
 }
 
 void
-member_table::OnNoReply(std::string_view aName, steady_time aNow)
+member_table::OnNoReply(const fleet_member& aAsked, steady_time aNow)
 {
-  const auto found = mMembers.find(aName);
-  if (found != mMembers.end()) {
+  const auto found = mMembers.find(aAsked.mName);
+  if (found != mMembers.end() &&
+      found->second.mMember.mRunId == aAsked.mRunId) {
     found->second.mSkippedUntil = aNow + kSkipTime;
   }
 }
--- a/modules/sharing/member_table.h
+++ b/modules/sharing/member_table.h
@@ -51,8 +51,9 @@
 
   /// Ends the skipping of a member that sent a message.
   void OnMessageFrom(std::string_view aName);
-  /// Skips a member for a second because it did not reply.
-  void OnNoReply(std::string_view aName, steady_time aNow);
+  /// Skips a member for a second because it did not reply. aAsked: as
+  /// registered when it was asked; a process that has registered since was not.
+  void OnNoReply(const fleet_member& aAsked, steady_time aNow);
 
   /// Number of members that are not skipped, this instance included.
   std::size_t Count(steady_time aNow) const;
--- a/modules/sharing/owner_client.cpp
+++ b/modules/sharing/owner_client.cpp
@@ -105,7 +105,7 @@
 owner_client::MarkUnresponsive(const fleet_member& aOwner,
                                const std::string& aItem)
 {
-  mMembers.OnNoReply(aOwner.mName, mScheduler.Now());
+  mMembers.OnNoReply(aOwner, mScheduler.Now());
   Log(log_level::Warn,
       "owner_no_reply",
       { { "peer", aOwner.mName }, { "item", aItem } });
--- a/tests/sharing/test_sharing.cpp
+++ b/tests/sharing/test_sharing.cpp
@@ -251,7 +251,7 @@
     for (const auto* name : { "i1", "i2", "i3" }) {
       second.Put(Member(name, "a"));
     }
-    second.OnNoReply(first[0]->mName, kStart);
+    second.OnNoReply(*first[0], kStart);
     STRCMP_EQUAL(first[1]->mName.c_str(),
                  second.OwnersOf("x", 1, kStart)[0]->mName.c_str());
     CHECK_FALSE(second.IsFirstOwner("x"));
@@ -266,10 +266,22 @@
   }
   SECTION("a member that does not reply is skipped for a while")
   {
-    table.OnNoReply("i3", kStart + 10s);
+    table.OnNoReply(Member("i3", "b"), kStart + 10s);
     LONGS_EQUAL(0, table.OtherZoneRelays(1, kStart + 10s).size());
     LONGS_EQUAL(1, table.OtherZoneRelays(1, kStart + 12s).size());
   }
+  SECTION("a process that registered while its predecessor was asked is not")
+  {
+    auto predecessor = Member("i3", "b");
+    predecessor.mRunId = 1;
+    auto successor = predecessor;
+    successor.mRunId = 2;
+    table.Put(predecessor);
+    table.Put(successor);
+    table.OnNoReply(predecessor, kStart + 15s);
+    LONGS_EQUAL(1, table.OtherZoneRelays(1, kStart + 15s).size());
+    table.Put(Member("i3", "b"));
+  }
   SECTION("owners do not depend on the order of the registrations")
   {
     member_table other(Member("i3", "b"));
