Membership: a registration that is read again is no change of the members

After each full read of the store, so also after its return from an older copy, every owner took all members as changed: its quotas kept as many tokens as it had earned since that moment, and its retry budgets began with a fifth, so that requests within a quota and repeats within the budget were refused. It also ended the skipping of members that do not reply. Cause: the version of the set of members counted entries that were read, not those that differ. The random number of the process tells them apart.

--- a/modules/sharing/member_table.cpp
+++ b/modules/sharing/member_table.cpp
@@ -15,6 +15,15 @@
 // second.
 constexpr duration kSkipTime = 1s;
 
+bool
+IsSameRegistration(const fleet_member& aLeft, const fleet_member& aRight)
+{
+  // Without the number a restarted process cannot be told from its predecessor.
+  return aLeft.mRunId != 0 && aLeft.mRunId == aRight.mRunId &&
+         aLeft.mAddress == aRight.mAddress &&
+         aLeft.mAvailabilityZone == aRight.mAvailabilityZone;
+}
+
 } // namespace
 
 member_table::member_table(fleet_member aSelf)
@@ -30,6 +39,10 @@
     mIsSelfRegistered = true;
     return;
   }
+  const auto* known = Find(aMember.mName);
+  if (known != nullptr && IsSameRegistration(*known, aMember)) {
+    return;
+  }
   ++mEpoch;
   mMembers[aMember.mName] = { aMember, steady_time() };
 }
--- a/modules/sharing/member_table.h
+++ b/modules/sharing/member_table.h
@@ -37,7 +37,8 @@
 
   const fleet_member& Self() const { return mSelf; }
 
-  /// Adds the registration of a member, or replaces it.
+  /// Adds the registration of a member, or replaces it. One that is known
+  /// already, as in a full read of the store, changes nothing.
   void Put(const fleet_member& aMember);
   /// Removes a member whose registration has ended.
   void Remove(std::string_view aName);
--- a/tests/sharing/test_sharing.cpp
+++ b/tests/sharing/test_sharing.cpp
@@ -282,6 +282,23 @@
     LONGS_EQUAL(1, table.OtherZoneRelays(1, kStart + 15s).size());
     table.Put(Member("i3", "b"));
   }
+  SECTION("a registration that is read again is no change of the members")
+  {
+    auto known = Member("i2", "a");
+    known.mRunId = 7;
+    table.Put(known);
+    table.OnNoReply(known, kStart + 16s);
+    const auto epoch = table.Epoch();
+    table.Put(known);
+    LONGS_EQUAL(epoch, table.Epoch());
+    LONGS_EQUAL(2, table.Count(kStart + 16s));
+    auto restarted = known;
+    restarted.mRunId = 8;
+    table.Put(restarted);
+    LONGS_EQUAL(epoch + 1, table.Epoch());
+    LONGS_EQUAL(3, table.Count(kStart + 16s));
+    table.Put(Member("i2", "a"));
+  }
   SECTION("owners do not depend on the order of the registrations")
   {
     member_table other(Member("i3", "b"));
