Placement: a request from before an avoidance is no failed trial of the target

A target that does not reply leaves requests open that are overdue one after the other, up to the objective of their route later. Those that came when its trials had begun counted as failed trials, and so the avoidance began again, at its full length, at all instances. Requests that were in flight are known to say nothing new; they were told only by the time since the failure, not by when they were sent.

What remains: single overdue requests at targets that serve all others.

--- a/modules/placement/outlier_detector.cpp
+++ b/modules/placement/outlier_detector.cpp
@@ -85,21 +85,28 @@
 }
 
 bool
-outlier_detector::Avoid(record& aRecord, duration aBaseLength, steady_time aNow)
+outlier_detector::Avoid(record& aRecord,
+                        duration aBaseLength,
+                        steady_time aSentAt,
+                        steady_time aNow)
 {
   // Requests that were in flight when the first one failed don't extend the
-  // avoidance: their failures have the same cause.
-  const bool isNew = !aRecord.mIsOnTrial || aNow >= aRecord.mTrialFrom;
-  if (!isNew) {
+  // avoidance: their failures have the same cause. At a target that does not
+  // reply they are overdue one after the other, also during its trials.
+  if (aRecord.mIsOnTrial && aNow < aRecord.mTrialFrom) {
     aRecord.mIsFailureConfirmed = true;
     return false;
   }
+  if (aSentAt < aRecord.mAvoidedSince) {
+    return false;
+  }
   aRecord.mIsFailureConfirmed = aRecord.mIsOnTrial;
   if (aRecord.mIsOnTrial) {
     aRecord.mFailedTrials = std::min(aRecord.mFailedTrials + 1, 4);
   }
   const auto length = std::min<duration>(
     kLongestAvoidance, aBaseLength * (1 << aRecord.mFailedTrials));
+  aRecord.mAvoidedSince = aNow;
   aRecord.mAvoidedUntil = aNow + length;
   aRecord.mTrialFrom = aNow + length / kEarlyTrialDivisor;
   aRecord.mTrialSuccesses = 0;
@@ -110,8 +117,10 @@
 bool
 outlier_detector::Observe(std::string_view aTarget,
                           exchange_outcome aOutcome,
-                          steady_time aNow)
+                          steady_time aNow,
+                          duration aAge)
 {
+  const auto sentAt = aNow - aAge;
   auto& record = mRecords[std::string(aTarget)];
   Decay(record, aNow);
   record.mUpdated = aNow;
@@ -137,7 +146,7 @@
         record.mFailures / (record.mFailures + record.mSuccesses);
       if (record.mIsOnTrial ||
           (record.mFailures >= kMinFaultFailures && share >= kMinFaultShare)) {
-        Avoid(record, kFirstAvoidance, aNow);
+        Avoid(record, kFirstAvoidance, sentAt, aNow);
       }
       // Each failure is reported, because the other instances add them up.
       return true;
@@ -145,17 +154,17 @@
     case exchange_outcome::Broken:
     case exchange_outcome::TimedOut:
       record.mFailures += 1;
-      return Avoid(record, kFirstAvoidance, aNow);
+      return Avoid(record, kFirstAvoidance, sentAt, aNow);
     case exchange_outcome::Unreachable:
       record.mFailures += 1;
-      return Avoid(record, kUnreachableAvoidance, aNow);
+      return Avoid(record, kUnreachableAvoidance, sentAt, aNow);
     case exchange_outcome::Shed: {
       const bool isNew = aNow >= record.mFullUntil;
       record.mFullUntil = aNow + kFullDuration;
       return isNew;
     }
     case exchange_outcome::Misdirected:
-      return Avoid(record, kLongestAvoidance, aNow);
+      return Avoid(record, kLongestAvoidance, sentAt, aNow);
     case exchange_outcome::Abandoned:
       return false;
   }
--- a/modules/placement/outlier_detector.h
+++ b/modules/placement/outlier_detector.h
@@ -45,11 +45,13 @@
 {
 public:
   /// Records an outcome that this instance observed or another one reported.
-  /// True when it should be reported to the other instances: it changes the use
-  /// of the target, or adds to the failures that all of them count.
+  /// aAge: time since the request was sent. True when it should be reported to
+  /// the other instances: it changes the use of the target, or adds to the
+  /// failures that all of them count.
   bool Observe(std::string_view aTarget,
                exchange_outcome aOutcome,
-               steady_time aNow);
+               steady_time aNow,
+               duration aAge = duration(0));
 
   target_use UseOf(std::string_view aTarget, steady_time aNow) const;
 
@@ -74,6 +76,7 @@
     double mFailures = 0;  ///< Decays exponentially.
     double mSuccesses = 0; ///< Decays exponentially.
     steady_time mUpdated;
+    steady_time mAvoidedSince; ///< Start of the last avoidance.
     steady_time mAvoidedUntil;
     steady_time mFullUntil;
     steady_time mTrialFrom;
@@ -85,8 +88,12 @@
 
   static void Decay(record& aRecord, steady_time aNow);
   /// Starts an avoidance of aBaseLength, doubled for each failed trial. False
-  /// when the failure falls into an avoidance before its trials begin.
-  bool Avoid(record& aRecord, duration aBaseLength, steady_time aNow);
+  /// when the failure falls into an avoidance before its trials begin, or is
+  /// that of a request that was sent before the last avoidance began.
+  bool Avoid(record& aRecord,
+             duration aBaseLength,
+             steady_time aSentAt,
+             steady_time aNow);
 
   std::unordered_map<std::string, record> mRecords;
 };
--- a/modules/proxy/fleet_evidence.cpp
+++ b/modules/proxy/fleet_evidence.cpp
@@ -81,11 +81,12 @@
 bool
 fleet_evidence::Observe(const std::string& aTarget,
                         exchange_outcome aOutcome,
+                        duration aAge,
                         const std::string& aSeenBy)
 {
   const auto now = mScheduler.Now();
   const bool wasInUse = mEvidence.UseOf(aTarget, now) == target_use::InUse;
-  const bool isNews = mEvidence.Observe(aTarget, aOutcome, now);
+  const bool isNews = mEvidence.Observe(aTarget, aOutcome, now, aAge);
   const bool isInUse = mEvidence.UseOf(aTarget, now) == target_use::InUse;
   if (wasInUse != isInUse) {
     mMetrics
@@ -102,12 +103,18 @@
 }
 
 void
-fleet_evidence::OnOutcome(const std::string& aTarget, exchange_outcome aOutcome)
+fleet_evidence::OnOutcome(const std::string& aTarget,
+                          exchange_outcome aOutcome,
+                          steady_time aSentAt)
 {
-  if (Observe(aTarget, aOutcome, mMembers.Self().mName)) {
+  const auto age = mScheduler.Now() - aSentAt;
+  if (Observe(aTarget, aOutcome, age, mMembers.Self().mName)) {
     // Load matters to the zone whose requests made it.
     const bool isToRelay = aOutcome != exchange_outcome::Shed;
-    Spread(target_report{ aTarget, static_cast<std::uint8_t>(aOutcome), false },
+    Spread(target_report{ aTarget,
+                          static_cast<std::uint8_t>(aOutcome),
+                          false,
+                          static_cast<std::uint32_t>(age / 1ms) },
            isToRelay);
   }
 }
@@ -131,8 +138,10 @@
       static_cast<std::uint8_t>(exchange_outcome::Abandoned)) {
     return;
   }
-  Observe(
-    aReport.mTarget, static_cast<exchange_outcome>(aReport.mOutcome), aSender);
+  Observe(aReport.mTarget,
+          static_cast<exchange_outcome>(aReport.mOutcome),
+          std::chrono::milliseconds(aReport.mAgeMs),
+          aSender);
   if (aReport.mShouldRelay) {
     Spread(aReport, false);
   }
--- a/modules/proxy/fleet_evidence.h
+++ b/modules/proxy/fleet_evidence.h
@@ -22,8 +22,10 @@
                  target_rate_limits& aLimits,
                  metrics& aMetrics);
 
-  /// An outcome of this instance.
-  void OnOutcome(const std::string& aTarget, exchange_outcome aOutcome);
+  /// An outcome of a request that this instance sent at aSentAt.
+  void OnOutcome(const std::string& aTarget,
+                 exchange_outcome aOutcome,
+                 steady_time aSentAt);
   void OnCrash(request_fingerprint aRequest, const std::string& aTarget);
   /// An answer to a request that was sent at aSentAt.
   void OnLimitSignal(const target_run& aTarget,
@@ -50,10 +52,11 @@
   duration LoadInterval() const;
 
 private:
-  /// Counts the outcome and logs a change of the target's use. True when the
-  /// outcome is news for others.
+  /// Counts the outcome of a request that was sent aAge ago, and logs a change
+  /// of the target's use. True when the outcome is news for others.
   bool Observe(const std::string& aTarget,
                exchange_outcome aOutcome,
+               duration aAge,
                const std::string& aSeenBy);
   void Spread(peer_payload aPayload, bool aIsToRelay);
   void LogLimit(const target_limit_report& aReport,
--- a/modules/proxy/request_handler.cpp
+++ b/modules/proxy/request_handler.cpp
@@ -349,7 +349,8 @@
       // Told before the deadline: other requests would wait at the same
       // silent target meanwhile.
       open->mIsOverdue = true;
-      mServices.mReports.OnOutcome(open->mTarget, exchange_outcome::TimedOut);
+      mServices.mReports.OnOutcome(
+        open->mTarget, exchange_outcome::TimedOut, open->mStartedAt);
     }
   }
 }
@@ -431,7 +432,8 @@
         services.mReports.OnOutcome(started->mTarget,
                                     finished.mIsTargetDown
                                       ? exchange_outcome::Unreachable
-                                      : finished.mOutcome);
+                                      : finished.mOutcome,
+                                    started->mStartedAt);
       }
       if (finished.mIsTargetDown) {
         services.mReports.OnCrash(fingerprint, started->mTarget);
--- a/modules/sharing/peer_message.cpp
+++ b/modules/sharing/peer_message.cpp
@@ -2,7 +2,9 @@
 
 #include "core/cbor.h"
 
+#include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace cowslipline {
 
@@ -33,7 +35,8 @@
 {
   return { kProtocolVersion, static_cast<int>(message_kind::Outcome),
            aSender,          aReport.mTarget,
-           aReport.mOutcome, aReport.mShouldRelay };
+           aReport.mOutcome, aReport.mShouldRelay,
+           aReport.mAgeMs };
 }
 
 json
@@ -189,7 +192,13 @@
   switch (aKind) {
     case message_kind::Outcome:
       if (isString(3) && isUnsigned(4) && isBoolean(5)) {
-        return target_report{ aFields[3], aFields[4], aFields[5] };
+        return target_report{
+          aFields[3],
+          aFields[4],
+          aFields[5],
+          static_cast<std::uint32_t>(std::min<std::uint64_t>(
+            unsignedOrZero(6), std::numeric_limits<std::uint32_t>::max()))
+        };
       }
       break;
     case message_kind::Crash:
--- a/modules/sharing/peer_message.h
+++ b/modules/sharing/peer_message.h
@@ -18,6 +18,7 @@
   std::uint8_t mOutcome = 0; ///< Value of an exchange_outcome.
   /// The receiver is to send it on to the members of its availability zone.
   bool mShouldRelay = false;
+  std::uint32_t mAgeMs = 0; ///< Time since the request was sent, ms.
 };
 
 /// A target crashed while it executed a request.
--- a/tests/placement/test_placement.cpp
+++ b/tests/placement/test_placement.cpp
@@ -49,6 +49,30 @@
   }
 }
 
+// Guards against a target that has recovered but stays idle, because requests
+// sent before it was avoided are overdue one after the other.
+TEST(outlier_detector, OverdueRequestsFromBeforeAnAvoidanceDoNotExtendIt)
+{
+  outlier_detector detector;
+  detector.Observe("t1", exchange_outcome::TimedOut, kStart, 2s);
+
+  SECTION("an older request does not count as a failed trial")
+  {
+    CHECK_FALSE(
+      detector.Observe("t1", exchange_outcome::TimedOut, kStart + 1900ms, 2s));
+    CHECK(detector.UseOf("t1", kStart + 2600ms) == target_use::Trial);
+    CHECK_FALSE(
+      detector.Observe("t1", exchange_outcome::TimedOut, kStart + 3s, 4s));
+    CHECK(detector.UseOf("t1", kStart + 3s) == target_use::Trial);
+  }
+  SECTION("a trial that gets no answer does")
+  {
+    CHECK(
+      detector.Observe("t1", exchange_outcome::TimedOut, kStart + 4700ms, 2s));
+    CHECK(detector.UseOf("t1", kStart + 4800ms) == target_use::Avoided);
+  }
+}
+
 // Guards against frequent trials during a long fault, each of which costs a
 // request, when the avoidance doesn't grow.
 // Guards also against avoidances so long that a target which recovered by
--- a/tests/sharing/test_sharing.cpp
+++ b/tests/sharing/test_sharing.cpp
@@ -322,7 +322,7 @@
   SECTION("messages keep their kind and sender")
   {
     const std::vector<peer_payload> payloads = {
-      target_report{ "t1", 2, true },
+      target_report{ "t1", 2, true, 1500 },
       crash_report{ 77, "t2", false },
       load_report{ { { "t1", 3 }, { "t2", 0 } } },
       quota_request{ 5, "lagos" },
