--- a/modules/proxy/proxy_instance.cpp
+++ b/modules/proxy/proxy_instance.cpp
@@ -122,8 +122,7 @@
 proxy_instance::Start()
 {
   mScheduler.Spawn([this](yield_context aYield) { mSync.Run(aYield); });
-  mScheduler.Spawn(
-    [this](yield_context aYield) { RegisterOnceReady(aYield); });
+  mScheduler.Spawn([this](yield_context aYield) { RegisterOnceReady(aYield); });
   mScheduler.Spawn([this](yield_context aYield) { RunHousekeeping(aYield); });
   mScheduler.Spawn([this](yield_context aYield) { RunLoadReports(aYield); });
   mScheduler.Spawn(
