Proxy: an empty value of the header that names a limit does not end the limit

Two answers whose header was there but empty lifted a target's limit, as if it was no longer named. Cause: the list of a header's values leaves out empty ones, so that such a header looked like none. The reader of the values knew the difference, and only it was tested.

AnEmptyValueDoesNotEndALimit failed before (0 limited targets instead of 1).

--- a/modules/proxy/target_exchange.cpp
+++ b/modules/proxy/target_exchange.cpp
@@ -58,6 +58,17 @@
   return kDefaultKeepAlive;
 }
 
+/// What the header says of the rate; an empty one is no absence of it.
+limit_signal
+LimitOf(const header_list& aHeaders, std::string_view aName)
+{
+  auto values = aHeaders.Tokens(aName);
+  if (values.empty() && aHeaders.Find(aName)) {
+    values.emplace_back();
+  }
+  return ReadLimitSignal(values);
+}
+
 } // namespace
 
 target_exchange::target_exchange(
@@ -206,8 +217,7 @@
       return Fail(exchange_outcome::Broken, true, "foreign_answer");
     }
     if (id) {
-      mLimit =
-        ReadLimitSignal(response->mHead.mHeaders.Tokens(mNames.mRateLimit));
+      mLimit = LimitOf(response->mHead.mHeaders, mNames.mRateLimit);
     }
     return Judge(std::move(*response));
   }
--- a/tests/proxy/test_limited_targets.cpp
+++ b/tests/proxy/test_limited_targets.cpp
@@ -54,6 +54,16 @@
   std::vector<steady_time> mArrivals;
 };
 
+/// Targets that the instance knows to be limited.
+int
+LimitedTargets(proxy_instance& aInstance)
+{
+  constexpr std::string_view kName = "\ncowslipline_targets_limited ";
+  const auto text = aInstance.RenderPage("/metrics").mBody;
+  const auto found = text.find(kName);
+  return found == text.npos ? -1 : std::stoi(text.substr(found + kName.size()));
+}
+
 } // namespace
 
 TEST_GROUP(limited_targets){};
@@ -115,6 +125,22 @@
   LONGS_EQUAL(20 - refused, limited.mArrivals.size());
 }
 
+// Guards against a limit that an answer with an unreadable or empty value ends.
+TEST(limited_targets, AnEmptyValueDoesNotEndALimit)
+{
+  edge_fixture fixture;
+  limited_target limited(fixture, "t1", "20");
+  fixture.Run([&](yield_context aYield) {
+    fixture.Call("GET", "/specs/1", aYield);
+    limited.mLimit = " ";
+    while (limited.mArrivals.size() < 5) {
+      fixture.Sleep(50ms, aYield);
+      fixture.Call("GET", "/specs/1", aYield);
+    }
+  });
+  LONGS_EQUAL(1, LimitedTargets(*fixture.mInstance));
+}
+
 // Guards against a limit that lasts when the target names it no more, and
 // against an instance that starts without knowing the limits.
 TEST(limited_targets, InstancesLearnALimitAndItsEndFromOthers)
@@ -122,10 +148,8 @@
   edge_fixture fixture;
   auto& second = fixture.AddInstance("i2");
   limited_target limited(fixture, "t1", "0.5");
-  const auto isLimitedAt = [&](proxy_instance& aInstance) {
-    return aInstance.RenderPage("/metrics")
-             .mBody.find("cowslipline_targets_limited 1\n") !=
-           std::string::npos;
+  const auto isLimitedAt = [](proxy_instance& aInstance) {
+    return LimitedTargets(aInstance) == 1;
   };
   fixture.Run([&](yield_context aYield) {
     SECTION("from one answer the other instance knows it too")
