Proxy: a misdirected answer does not limit the target that was asked for

When a target's address had been given to another one that limits its rate, the 421 of the new one set its limit for the old one: wrong in the metrics and the log, told to the whole fleet, and kept for a minute. The sends themselves were not affected while the old target was gone. Its limit belongs to a target that answers to its own id.

AMisdirectedAnswerLimitsNothing failed before (1 limited target instead of 0).

--- a/modules/proxy/target_exchange.cpp
+++ b/modules/proxy/target_exchange.cpp
@@ -120,7 +120,10 @@
     return Fail(exchange_outcome::Unreachable, false, "nothing_sent");
   }
   auto finished = ReadAnswer(aDeadline, aYield);
-  finished.mLimit = mLimit;
+  // Another target has the address, and its limit is not that of this one.
+  if (finished.mOutcome != exchange_outcome::Misdirected) {
+    finished.mLimit = mLimit;
+  }
   // A refusal or failure need not come from where the limit is set.
   finished.mLimit.mIsClear =
     mLimit.mIsClear && finished.mOutcome == exchange_outcome::Served;
--- a/tests/proxy/test_limited_targets.cpp
+++ b/tests/proxy/test_limited_targets.cpp
@@ -141,6 +141,25 @@
   LONGS_EQUAL(1, LimitedTargets(*fixture.mInstance));
 }
 
+// Guards against a limit of the target that has got the address of another one.
+TEST(limited_targets, AMisdirectedAnswerLimitsNothing)
+{
+  edge_fixture fixture;
+  fixture.AddTarget(
+    "t1",
+    "catalogue",
+    [](
+      const http_request& aRequest, tcp_stream& aStream, yield_context aYield) {
+      auto answer = GoodAnswer(aRequest, "");
+      answer.replace(0, answer.find("\r\n"), "HTTP/1.1 421 Misdirected");
+      answer.insert(answer.find("Request:"), "Rate-Limit: 1\r\n");
+      return SendText(aStream, answer, aYield);
+    });
+  fixture.Run(
+    [&](yield_context aYield) { fixture.Call("GET", "/specs/1", aYield); });
+  LONGS_EQUAL(0, LimitedTargets(*fixture.mInstance));
+}
+
 // Guards against a limit that lasts when the target names it no more, and
 // against an instance that starts without knowing the limits.
 TEST(limited_targets, InstancesLearnALimitAndItsEndFromOthers)
