Tests: what was withdrawn before a start is not in use after it

An instance that leaves and starts again after a key was withdrawn and a target has left answers 401 to the key and sends nothing to the target (20 requests).

--- a/tests/proxy/test_starting_instances.cpp
+++ b/tests/proxy/test_starting_instances.cpp
@@ -27,3 +27,43 @@
     LONGS_EQUAL(2, fixture.mFeed.MemberCount());
   }
 }
+
+// Guards against a withdrawn key, or a target that has left, in use again after
+// a restart.
+TEST(starting_instances, DoNotUseWhatWasWithdrawnBefore)
+{
+  edge_fixture fixture;
+  const auto serve = [](const http_request& aRequest,
+                        tcp_stream& aStream,
+                        yield_context aYield) {
+    return SendText(aStream, GoodAnswer(aRequest, "whole"), aYield);
+  };
+  const auto& gone = fixture.AddTarget("t1", "catalogue", serve);
+  fixture.AddTarget("t2", "catalogue", serve);
+  auto& first = fixture.AddInstance("i2");
+  auto withdrawn = fixture.Configuration(5);
+  withdrawn.mOrganisations[0].mKeys = { "key-2" };
+  fixture.mFeed.Publish(withdrawn);
+  fixture.mFeed.RemoveTarget("t1");
+  fixture.Run([&](yield_context aYield) { first.Leave(aYield); });
+  const auto before = gone.Requests().size();
+  auto& restarted = fixture.AddInstance("i2");
+
+  fixture.Run([&](yield_context aYield) {
+    SECTION("the key that was withdrawn is unknown")
+    {
+      const auto response =
+        fixture.CallAt(restarted, "GET", "/specs/1", aYield);
+      LONGS_EQUAL(401, response ? response->mHead.mStatus : 0);
+    }
+    SECTION("the target that has left gets nothing")
+    {
+      for (int i = 0; i < 20; ++i) {
+        const auto response = fixture.CallAt(
+          restarted, "GET", "/specs/1", aYield, "Key: key-2\r\n");
+        LONGS_EQUAL(200, response ? response->mHead.mStatus : 0);
+      }
+      LONGS_EQUAL(before, gone.Requests().size());
+    }
+  });
+}
