--- a/modules/proxy/target_exchange.cpp
+++ b/modules/proxy/target_exchange.cpp
@@ -58,7 +58,8 @@
   return kDefaultKeepAlive;
 }
 
-/// What the header says of the rate; an empty one is no absence of it.
+/// What the header says of the rate. An empty value is unreadable, it does not
+/// mean that there is no limit.
 limit_signal
 LimitOf(const header_list& aHeaders, std::string_view aName)
 {
