Tests: the sync task of a section ends before its objects do

The sanitized sync test failed in the whole check (stack-use-after-scope in AStartOnAnOlderCopyWaitsFor- WhatIsWrittenAgain): the second section stopped its task without letting it end, as the first one does, so that its watch returned into objects that were gone. No check changed (10 s of simulated time added).

--- a/tests/sync/test_restored_store.cpp
+++ b/tests/sync/test_restored_store.cpp
@@ -216,6 +216,7 @@
     clock.Advance(2s);
     CHECK(laterView.mFreshness.IsFresh(clock.Now()));
     later.Stop();
+    clock.Advance(10s);
   }
   sync.Stop();
   clock.Advance(10s);
