--- /dev/null
+++ b/review/standins/target_server.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "review/standins/platform_store.h"
+
+namespace review {
+
+/// A target of a service. It registers itself, runs requests that expect its
+/// id, and echoes their ids.
+class target_server
+{
+public:
+  /// Tells of a request that begins to run.
+  using run_handler = std::function<void(const std::string& aTarget,
+                                         const http_message& aRequest)>;
+
+  /// A request runs for as many milliseconds as its query "?work=" says.
+  target_server(platform_store& aStore,
+                record& aRecord,
+                std::string aId,
+                std::string aService,
+                std::string aZone,
+                run_handler aHandler);
+  ~target_server();
+  target_server(const target_server&) = delete;
+  target_server& operator=(const target_server&) = delete;
+
+private:
+  void Serve(http_socket aSocket);
+  /// False when the connection is to be closed.
+  bool Answer(http_socket& aSocket, const http_message& aRequest);
+  void Beat();
+
+  platform_store& mStore;
+  record& mRecord;
+  std::string mId;
+  std::string mService;
+  std::string mZone;
+  run_handler mHandler;
+  std::string mIp = "127.0.0.1";
+  http_listener mListener;
+  std::int64_t mBornMs;
+  std::uint64_t mSequence = 0;
+  std::atomic<bool> mIsStopped{ false };
+  std::atomic<int> mConnections{ 0 };
+  std::vector<std::thread> mThreads;
+};
+
+} // namespace review
