--- a/review/standins/target_server.cpp
+++ b/review/standins/target_server.cpp
@@ -91,18 +91,46 @@
                .dump());
 }
 
+void
+target_server::SetAdditionalBytes(std::string aBytes, int aEvery)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mAdditionalBytes = std::move(aBytes);
+  mAdditionalEvery = aEvery;
+}
+
+bool
+target_server::CountAnswer()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mAdditionalEvery > 0 && ++mAnswers % mAdditionalEvery == 0;
+}
+
 void
 target_server::Serve(http_socket aSocket)
 {
   auto idleEnd = clock_type::now() + kIdleTimeout;
+  bool hasMoreToSend = false;
   while (!mIsStopped && clock_type::now() < idleEnd) {
     if (!aSocket.WaitReadable(100ms)) {
       continue;
     }
     const auto request = aSocket.Receive(clock_type::now() + 5s);
-    if (!request || !Answer(aSocket, *request)) {
+    if (!request) {
+      return;
+    }
+    if (hasMoreToSend) {
+      mRecord.Add("additional bytes from " + mId + " before the answer to " +
+                  request->Header("attempt-id"));
+      const std::lock_guard<std::mutex> lock(mMutex);
+      if (!aSocket.Send(mAdditionalBytes)) {
+        return;
+      }
+    }
+    if (!Answer(aSocket, *request)) {
       return;
     }
+    hasMoreToSend = CountAnswer();
     idleEnd = clock_type::now() + kIdleTimeout;
   }
 }
--- a/review/standins/target_server.h
+++ b/review/standins/target_server.h
@@ -21,6 +21,11 @@
                 std::string aZone,
                 run_handler aHandler);
   ~target_server();
+
+  /// From now on, the target sends these bytes after each aEvery-th complete
+  /// answer: late, when the next request comes on that connection. 0: never.
+  void SetAdditionalBytes(std::string aBytes, int aEvery);
+
   target_server(const target_server&) = delete;
   target_server& operator=(const target_server&) = delete;
 
@@ -29,6 +34,8 @@
   /// False when the connection is to be closed.
   bool Answer(http_socket& aSocket, const http_message& aRequest);
   void Beat();
+  /// True when additional bytes follow the answer that was just completed.
+  bool CountAnswer();
 
   platform_store& mStore;
   record& mRecord;
@@ -40,6 +47,10 @@
   http_listener mListener;
   std::int64_t mBornMs;
   std::uint64_t mSequence = 0;
+  std::mutex mMutex;
+  std::string mAdditionalBytes;
+  int mAdditionalEvery = 0;
+  int mAnswers = 0;
   std::atomic<bool> mIsStopped{ false };
   std::atomic<int> mConnections{ 0 };
   std::vector<std::thread> mThreads;
