--- a/review/standins/http_socket.cpp
+++ b/review/standins/http_socket.cpp
@@ -275,6 +275,12 @@
   return http_socket(accepted);
 }
 
+void
+http_listener::Stop() const
+{
+  ::shutdown(mDescriptor, SHUT_RDWR);
+}
+
 std::uint16_t
 FindFreePort(const std::string& aIp)
 {
--- a/review/standins/http_socket.h
+++ b/review/standins/http_socket.h
@@ -74,6 +74,8 @@
   std::uint16_t Port() const { return mPort; }
   /// The next connection; nothing within a tenth of a second.
   std::optional<http_socket> Accept() const;
+  /// Refuses connections from now on.
+  void Stop() const;
 
 private:
   int mDescriptor;
--- a/review/standins/target_server.cpp
+++ b/review/standins/target_server.cpp
@@ -20,14 +20,15 @@
                              std::string aId,
                              std::string aService,
                              std::string aZone,
-                             run_handler aHandler)
+                             run_handler aHandler,
+                             std::uint16_t aPort)
   : mStore(aStore)
   , mRecord(aRecord)
   , mId(std::move(aId))
   , mService(std::move(aService))
   , mZone(std::move(aZone))
   , mHandler(std::move(aHandler))
-  , mListener(mIp, 0)
+  , mListener(mIp, aPort)
   , mBornMs(std::chrono::duration_cast<std::chrono::milliseconds>(
               std::chrono::system_clock::now().time_since_epoch())
               .count())
@@ -135,6 +136,16 @@
   }
 }
 
+void
+target_server::Crash(http_socket& aSocket)
+{
+  mRecord.Add("crash of " + mId);
+  mListener.Stop();
+  mHasCrashed = true;
+  mIsStopped = true;
+  aSocket.ResetOnClose();
+}
+
 bool
 target_server::Answer(http_socket& aSocket, const http_message& aRequest)
 {
@@ -149,6 +160,10 @@
               aRequest.Header("tenant"));
   mHandler(mId, aRequest);
   const auto target = aRequest.Word(1);
+  if (target.find("/poison") != std::string::npos) {
+    Crash(aSocket);
+    return false;
+  }
   const auto query = target.find("?work=");
   const auto work = std::chrono::milliseconds(
     query == std::string::npos ? 0 : std::atoi(target.c_str() + query + 6));
@@ -156,6 +171,11 @@
   while (clock_type::now() < end) {
     std::this_thread::sleep_for(
       std::min<clock_type::duration>(end - clock_type::now(), 20ms));
+    if (mHasCrashed) {
+      mRecord.Add("run lost in the crash of " + mId + ": " + requestId);
+      aSocket.ResetOnClose();
+      return false;
+    }
     if (aSocket.HasEnded()) {
       // Dropped when its connection closes.
       mRecord.Add("run dropped at " + mId + ": " + requestId);
--- a/review/standins/target_server.h
+++ b/review/standins/target_server.h
@@ -13,13 +13,15 @@
   using run_handler = std::function<void(const std::string& aTarget,
                                          const http_message& aRequest)>;
 
-  /// A request runs for as many milliseconds as its query "?work=" says.
+  /// A request runs for as many milliseconds as its query "?work=" says. One
+  /// whose path ends in "/poison" crashes the target. aPort 0: a free one.
   target_server(platform_store& aStore,
                 record& aRecord,
                 std::string aId,
                 std::string aService,
                 std::string aZone,
-                run_handler aHandler);
+                run_handler aHandler,
+                std::uint16_t aPort = 0);
   ~target_server();
 
   /// From now on, the target sends these bytes after each aEvery-th complete
@@ -29,7 +31,12 @@
   target_server(const target_server&) = delete;
   target_server& operator=(const target_server&) = delete;
 
+  std::uint16_t Port() const { return mListener.Port(); }
+  /// It refuses connections and has reset the present ones.
+  bool HasCrashed() const { return mHasCrashed; }
+
 private:
+  void Crash(http_socket& aSocket);
   void Serve(http_socket aSocket);
   /// False when the connection is to be closed.
   bool Answer(http_socket& aSocket, const http_message& aRequest);
@@ -52,6 +59,7 @@
   int mAdditionalEvery = 0;
   int mAnswers = 0;
   std::atomic<bool> mIsStopped{ false };
+  std::atomic<bool> mHasCrashed{ false };
   std::atomic<int> mConnections{ 0 };
   std::vector<std::thread> mThreads;
 };
