Proxy: connections close at a planned stop while the store is silent

Cause: Leave() waited for the removal of the registration, up to 1.6 s, before it closed the listener and idle connections. Ruled out: requests that came before idle connections are due to be closed (2.6 s).

The removal runs in a task of its own now, so it delays nothing.

--- a/modules/proxy/proxy_instance.cpp
+++ b/modules/proxy/proxy_instance.cpp
@@ -357,13 +357,18 @@
       "leaving",
       { { "in_flight", std::to_string(mServices.mRequestsInFlight) } });
   mScheduler.SleepFor(kUntilOutOfRotation, aYield);
-  mRegistration.Stop();
-  mRegistration.Deregister(aYield);
+  // The store may be silent; callers' connections do not wait for it.
+  mScheduler.Spawn([this](yield_context aOwnYield) {
+    mRegistration.Stop();
+    mRegistration.Deregister(aOwnYield);
+    mIsDeregistered = true;
+  });
   mListener.StopAccepting();
   const auto end = startedAt + mSettings.mGrace - kExitMargin;
   while (mScheduler.Now() < end) {
     mListener.CloseIdle();
-    if (mServices.mRequestsInFlight == 0 && mListener.Connections() == 0) {
+    if (mServices.mRequestsInFlight == 0 && mListener.Connections() == 0 &&
+        mIsDeregistered) {
       break;
     }
     if (mScheduler.Now() - startedAt > kUntilRefusing) {
--- a/modules/proxy/proxy_instance.h
+++ b/modules/proxy/proxy_instance.h
@@ -82,6 +82,8 @@
   page_server mReadiness;
   page_server mMetricsPage;
   bool mIsStopped = false;
+  /// The attempt to remove the registration has ended, whatever came of it.
+  bool mIsDeregistered = false;
 };
 
 } // namespace cowslipline
--- a/tests/fakes/memory_platform_feed.cpp
+++ b/tests/fakes/memory_platform_feed.cpp
@@ -1,9 +1,19 @@
 #include "tests/fakes/memory_platform_feed.h"
 
+#include "core/check.h"
+
+#include <algorithm>
 #include <cstdio>
 
 namespace cowslipline::testing {
 
+namespace {
+
+// Of the client of the real store.
+constexpr duration kReplyTimeout = std::chrono::milliseconds(1200);
+
+} // namespace
+
 void
 memory_platform_feed::Record(platform_event aEvent)
 {
@@ -138,11 +148,25 @@
   return events;
 }
 
+result<void>
+memory_platform_feed::AwaitReply(yield_context aYield)
+{
+  if (!mIsSilent) {
+    return {};
+  }
+  mMostWaitingCalls = std::max(mMostWaitingCalls, ++mWaitingCalls);
+  mScheduler.SleepFor(kReplyTimeout, aYield);
+  --mWaitingCalls;
+  return Fail(errc::StoreAnswerLost);
+}
+
 result<store_lease>
-memory_platform_feed::GrantLease(duration, yield_context)
+memory_platform_feed::GrantLease(duration, yield_context aYield)
 {
   ++mCallCount;
   ++mWriteCount;
+  const auto awaited = AwaitReply(aYield);
+  COWSLIPLINE_PROPAGATE(awaited);
   if (mIsDown) {
     return Fail(errc::StoreUnavailable);
   }
@@ -150,9 +174,12 @@
 }
 
 result<void>
-memory_platform_feed::RenewLease(const store_lease& aLease, yield_context)
+memory_platform_feed::RenewLease(const store_lease& aLease,
+                                 yield_context aYield)
 {
   ++mCallCount;
+  const auto awaited = AwaitReply(aYield);
+  COWSLIPLINE_PROPAGATE(awaited);
   if (mIsDown) {
     return Fail(errc::StoreUnavailable);
   }
@@ -167,10 +194,12 @@
 result<void>
 memory_platform_feed::Register(const fleet_member& aMember,
                                const store_lease& aLease,
-                               yield_context)
+                               yield_context aYield)
 {
   ++mCallCount;
   ++mWriteCount;
+  const auto awaited = AwaitReply(aYield);
+  COWSLIPLINE_PROPAGATE(awaited);
   if (mIsDown) {
     return Fail(errc::StoreUnavailable);
   }
@@ -181,9 +210,12 @@
 }
 
 result<void>
-memory_platform_feed::Unregister(const fleet_member& aMember, yield_context)
+memory_platform_feed::Unregister(const fleet_member& aMember,
+                                 yield_context aYield)
 {
   ++mCallCount;
+  const auto awaited = AwaitReply(aYield);
+  COWSLIPLINE_PROPAGATE(awaited);
   RemoveMember(aMember.mName);
   return {};
 }
--- a/tests/fakes/memory_platform_feed.h
+++ b/tests/fakes/memory_platform_feed.h
@@ -38,6 +38,13 @@
   /// While down, all calls except Unregister() fail with
   /// errc::StoreUnavailable.
   void SetDown(bool aIsDown) { mIsDown = aIsDown; }
+  /// While silent, calls for this instance's lease and registration get no
+  /// reply: they fail with errc::StoreAnswerLost after 1.2 s.
+  void SetSilent(bool aIsSilent) { mIsSilent = aIsSilent; }
+  /// Calls that wait for a reply while the store is silent. They share a
+  /// connection, so two at once would take each other's replies.
+  int WaitingCalls() const { return mWaitingCalls; }
+  int MostWaitingCalls() const { return mMostWaitingCalls; }
   /// Time that a full read takes from now on.
   void SetReadTime(duration aTime) { mReadTime = aTime; }
   /// Ends all leases granted so far and removes all members without an event.
@@ -87,6 +94,8 @@
   };
 
   void Record(platform_event aEvent);
+  /// Waits out the reply timeout if the store is silent.
+  result<void> AwaitReply(yield_context aYield);
 
   scheduler& mScheduler;
   state mState;
@@ -94,6 +103,9 @@
   std::uint64_t mGeneration = 1;
   std::uint64_t mOldestRevision = 0;
   bool mIsDown = false;
+  bool mIsSilent = false;
+  int mWaitingCalls = 0;
+  int mMostWaitingCalls = 0;
   duration mReadTime{ 0 };
   int mCallCount = 0;
   int mWriteCount = 0;
