Sync: an instance that leaves waits for its call to the store that is under way

Registration::Run and Deregister shared a connection that serves one call at a time, from two tasks. A stop while the renewal of the lease waits for a silent store sent the removal on the same connection: each call could read the other's reply, and the first that failed destroyed the stream that the other read.

Deregister now ends Run, waits for its call, and then removes the registration. registration.LeavesAfterACallThatIsUnderWay fails on the old code: 2 calls wait at once where 1 may.

--- a/modules/proxy/proxy_instance.cpp
+++ b/modules/proxy/proxy_instance.cpp
@@ -359,7 +359,6 @@
   mScheduler.SleepFor(kUntilOutOfRotation, aYield);
   // The store may be silent; callers' connections do not wait for it.
   mScheduler.Spawn([this](yield_context aOwnYield) {
-    mRegistration.Stop();
     mRegistration.Deregister(aOwnYield);
     mIsDeregistered = true;
   });
--- a/modules/sync/registration.cpp
+++ b/modules/sync/registration.cpp
@@ -23,6 +23,22 @@
 
 void
 registration::Run(yield_context aYield)
+{
+  mIsRunning = true;
+  KeepRegistered(aYield);
+  mIsRunning = false;
+  mRunEnded.Set();
+}
+
+void
+registration::Stop()
+{
+  mIsStopped = true;
+  mWakeUp.Set();
+}
+
+void
+registration::KeepRegistered(yield_context aYield)
 {
   while (!mIsStopped) {
     if (!mLease) {
@@ -37,7 +53,7 @@
       mWakeUp.Wait(mScheduler, mLease ? kRenewInterval : kRetryWait, aYield);
       continue;
     }
-    // A copy: leaving resets the lease while the reply is awaited.
+    // A copy: a restored store replaces it while the reply is awaited.
     const auto lease = *mLease;
     const auto renewed = mFeed.RenewLease(lease, aYield);
     const bool isOfLaterGeneration =
@@ -73,6 +89,10 @@
 void
 registration::Deregister(yield_context aYield)
 {
+  Stop();
+  while (mIsRunning) {
+    mRunEnded.Wait(mScheduler, kRenewInterval, aYield);
+  }
   if (!mLease) {
     return;
   }
--- a/modules/sync/registration.h
+++ b/modules/sync/registration.h
@@ -17,9 +17,9 @@
   {
   }
 
-  /// Runs until Stop().
+  /// Runs until Stop() or Deregister().
   void Run(yield_context aYield);
-  void Stop() { mIsStopped = true; }
+  void Stop();
 
   /// The store has come back from an older copy. Keeps a lease under which the
   /// copy lists this process: it was granted before the copy was taken, so its
@@ -28,11 +28,14 @@
   /// aListed: id 0 if the copy does not list it.
   void OnStoreRestored(const store_lease& aListed);
 
-  /// Removes the registration at once instead of when the lease expires. On
-  /// failure it is left to expire.
+  /// Ends Run() and removes the registration at once instead of when the lease
+  /// expires. On failure it is left to expire. A call of Run() that is under
+  /// way ends first: the feed takes one call at a time.
   void Deregister(yield_context aYield);
 
 private:
+  void KeepRegistered(yield_context aYield);
+
   scheduler& mScheduler;
   platform_feed& mFeed;
   fleet_member mSelf;
@@ -41,6 +44,8 @@
   /// whether the lease still counts.
   bool mIsLeaseDoubtful = false;
   event mWakeUp;
+  bool mIsRunning = false;
+  event mRunEnded;
   bool mIsStopped = false;
 };
 
--- a/tests/sync/test_platform_sync.cpp
+++ b/tests/sync/test_platform_sync.cpp
@@ -423,7 +423,6 @@
   }
   SECTION("leaving removes the registration at once")
   {
-    self.Stop();
     CHECK(clock.RunUntilDone(
       [&](yield_context aYield) { self.Deregister(aYield); }, 1s));
     LONGS_EQUAL(0, feed.MemberCount());
@@ -431,3 +430,27 @@
   self.Stop();
   clock.Advance(5s);
 }
+
+// Guards against two calls at once on the connection for registrations, each of
+// which may read the other's reply or close the stream under it.
+TEST(registration, LeavesAfterACallThatIsUnderWay)
+{
+  manual_scheduler clock;
+  memory_platform_feed feed(clock);
+  registration self(clock, feed, Self());
+  clock.Spawn([&](yield_context aYield) { self.Run(aYield); });
+  clock.Advance(100ms);
+  feed.SetSilent(true);
+  while (feed.WaitingCalls() == 0) {
+    clock.Advance(100ms);
+  }
+
+  SECTION("an instance leaves while it waits for the renewal of its lease")
+  {
+    CHECK(clock.RunUntilDone(
+      [&](yield_context aYield) { self.Deregister(aYield); }, 5s));
+    LONGS_EQUAL(1, feed.MostWaitingCalls());
+  }
+  self.Stop();
+  clock.Advance(5s);
+}
