Sharing: a quota is held by one instance until it hands it over

A new owner asks those that it may have replaced for the quota and gets what they admitted in the window; a former owner names the holder and forwards what it is still asked. Who owns a quota may differ between instances, who decides may not.

--- a/modules/proxy/proxy_instance.cpp
+++ b/modules/proxy/proxy_instance.cpp
@@ -234,6 +234,14 @@
     {
       mInstance.mOwners.OnPeerRequest(aQuestion, mFrom);
     }
+    void operator()(const quota_handover_request& aQuestion) const
+    {
+      mInstance.mOwners.OnPeerRequest(aQuestion, mFrom);
+    }
+    void operator()(const quota_handover& aAnswer) const
+    {
+      mInstance.mOwners.OnReply(aAnswer);
+    }
     void operator()(const changes_request& aQuestion) const
     {
       mInstance.mLink->Send(mInstance.mSync.Answer(aQuestion), mFrom);
--- a/modules/sharing/member_table.cpp
+++ b/modules/sharing/member_table.cpp
@@ -15,6 +15,13 @@
 // second.
 constexpr duration kSkipTime = 1s;
 
+// A removed member may still decide for instances that have not heard of its
+// removal. All have after a few seconds.
+constexpr duration kRemovedExpiry = 10s;
+
+// Removed members that are asked for what they decided.
+constexpr std::size_t kMaxPreviousOwners = 3;
+
 bool
 IsSameRegistration(const fleet_member& aLeft, const fleet_member& aRight)
 {
@@ -45,13 +52,19 @@
   }
   ++mEpoch;
   mMembers[aMember.mName] = { aMember, steady_time() };
+  mRemoved.erase(aMember.mName);
 }
 
 void
-member_table::Remove(std::string_view aName)
+member_table::Remove(std::string_view aName, steady_time aNow)
 {
+  for (auto entry = mRemoved.begin(); entry != mRemoved.end();) {
+    const bool isOld = aNow - entry->second.mRemovedAt > kRemovedExpiry;
+    entry = isOld ? mRemoved.erase(entry) : std::next(entry);
+  }
   const auto found = mMembers.find(aName);
   if (found != mMembers.end()) {
+    mRemoved[found->first] = { found->second.mMember, aNow };
     mMembers.erase(found);
     ++mEpoch;
   }
@@ -157,6 +170,37 @@
   });
 }
 
+std::vector<fleet_member>
+member_table::PreviousOwnersOf(std::string_view aItem, steady_time aNow) const
+{
+  const auto item = Hash64(aItem);
+  const auto ownWeight = RendezvousWeight(mSelf.mName, item);
+  using weighted_member = std::pair<std::uint64_t, const fleet_member*>;
+  std::vector<weighted_member> removed;
+  for (const auto& [name, state] : mRemoved) {
+    const auto weight = RendezvousWeight(name, item);
+    if (weight > ownWeight && aNow - state.mRemovedAt <= kRemovedExpiry) {
+      removed.emplace_back(weight, &state.mMember);
+    }
+  }
+  // The members that came right before this one are the likeliest.
+  std::sort(removed.begin(), removed.end());
+  removed.resize(std::min(removed.size(), kMaxPreviousOwners));
+  weighted_member present{ 0, nullptr };
+  for (const auto& [name, state] : mMembers) {
+    present =
+      std::max(present, { RendezvousWeight(name, item), &state.mMember });
+  }
+  std::vector<fleet_member> previous;
+  for (const auto& [weight, member] : removed) {
+    previous.push_back(*member);
+  }
+  if (present.second != nullptr) {
+    previous.push_back(*present.second);
+  }
+  return previous;
+}
+
 const fleet_member&
 member_table::ZoneOwnerOf(std::string_view aItem, steady_time aNow) const
 {
--- a/modules/sharing/member_table.h
+++ b/modules/sharing/member_table.h
@@ -1,8 +1,7 @@
 #pragma once
 
 #include "core/time.h"
-
-#include <asio/ip/udp.hpp>
+#include "modules/sharing/peer_message.h"
 
 #include <cstdint>
 #include <map>
@@ -12,8 +11,6 @@
 
 namespace cowslipline {
 
-using udp_endpoint = asio::ip::udp::endpoint;
-
 /// Registration of an instance of the fleet.
 struct fleet_member
 {
@@ -41,7 +38,7 @@
   /// already, as in a full read of the store, changes nothing.
   void Put(const fleet_member& aMember);
   /// Removes a member whose registration has ended.
-  void Remove(std::string_view aName);
+  void Remove(std::string_view aName, steady_time aNow);
 
   /// Nothing for a member that is not registered, and for this instance.
   const fleet_member* Find(std::string_view aName) const;
@@ -72,6 +69,13 @@
   /// members, skipped ones included: no other instance is asked before it.
   bool IsFirstOwner(std::string_view aItem) const;
 
+  /// Members that may have been the item's owner before this instance: those
+  /// before it in the order of owners that were removed in the last seconds, a
+  /// few at most, and the first of the other registered members, skipped ones
+  /// included.
+  std::vector<fleet_member> PreviousOwnersOf(std::string_view aItem,
+                                             steady_time aNow) const;
+
   /// Owner of the item among this instance and the members of its availability
   /// zone that are not skipped.
   const fleet_member& ZoneOwnerOf(std::string_view aItem,
@@ -101,6 +105,12 @@
   fleet_member mSelf;
   bool mIsSelfRegistered = false;
   std::map<std::string, member_state, std::less<>> mMembers;
+  struct removed_member
+  {
+    fleet_member mMember;
+    steady_time mRemovedAt;
+  };
+  std::map<std::string, removed_member, std::less<>> mRemoved;
   std::uint64_t mEpoch = 1;
 };
 
--- a/modules/sharing/owner_client.cpp
+++ b/modules/sharing/owner_client.cpp
@@ -21,6 +21,18 @@
 // when no owner replies. The owners do not count these requests.
 constexpr double kLocalShareFraction = 0.5;
 
+// Time to wait for an earlier owner to hand a quota over, for the first request
+// and for its repetition. Together they are shorter than kFirstReplyTimeout,
+// for which the instance that asks this one waits.
+constexpr duration kHandoverReplyTimeout = 20ms;
+constexpr int kHandoverRequests = 2;
+
+// Instances that one takeover asks, those that others name included.
+constexpr std::size_t kMaxHandoversAsked = 8;
+
+// Steps of one decision: it is forwarded, not replied to, then taken over.
+constexpr int kMaxDecisionSteps = 4;
+
 constexpr std::size_t kMaxOwners = 2;
 
 /// The item by which the owner of a target's limit is named.
@@ -87,7 +99,7 @@
 template<typename Request>
 std::optional<quota_decision>
 owner_client::AskOwner(Request aRequest,
-                       const fleet_member& aOwner,
+                       const udp_endpoint& aOwner,
                        duration aTimeout,
                        yield_context aYield)
 {
@@ -95,7 +107,7 @@
   aRequest.mId = id;
   const auto pending = std::make_shared<pending_request>();
   mPendingRequests.emplace(id, pending);
-  mLink.Send(aRequest, aOwner.mAddress);
+  mLink.Send(aRequest, aOwner);
   pending->mReplyArrived.Wait(mScheduler, aTimeout, aYield);
   mPendingRequests.erase(id);
   return pending->mDecision;
@@ -127,15 +139,15 @@
     auto source =
       i == 0 ? quota_source::RemoteOwner : quota_source::SecondOwner;
     if (owner.mName == self) {
-      decision = mQuotas.Admit(
-        aOrganisation, aLimit, SoleOwnerSince(aOrganisation), mScheduler.Now());
+      decision = DecideAsOwner(aOrganisation, aLimit, std::nullopt, aYield);
       source = quota_source::LocalOwner;
     } else {
       const quota_request request{ 0, aOrganisation };
-      decision = AskOwner(request, owner, kFirstReplyTimeout, aYield);
+      decision = AskOwner(request, owner.mAddress, kFirstReplyTimeout, aYield);
       // Repeated once because a datagram may be lost.
       if (!decision) {
-        decision = AskOwner(request, owner, kSecondReplyTimeout, aYield);
+        decision =
+          AskOwner(request, owner.mAddress, kSecondReplyTimeout, aYield);
       }
     }
     if (decision) {
@@ -163,7 +175,7 @@
       aService, requests, mMembers.Epoch(), mScheduler.Now());
   }
   const auto decision = AskOwner(retry_request{ 0, aService, requests },
-                                 owners[0],
+                                 owners[0].mAddress,
                                  kFirstReplyTimeout,
                                  aYield);
   if (!decision) {
@@ -189,7 +201,8 @@
     const send_permit_request request{
       0, aTarget, aRate, static_cast<std::uint32_t>(std::max(aPriority, 0))
     };
-    const auto decision = AskOwner(request, owner, kFirstReplyTimeout, aYield);
+    const auto decision =
+      AskOwner(request, owner.mAddress, kFirstReplyTimeout, aYield);
     if (decision) {
       return permit_decision{ decision->mIsAdmitted, decision->mRetryAfter };
     }
@@ -223,15 +236,182 @@
                             const quota_limit& aLimit,
                             const udp_endpoint& aFrom)
 {
-  const auto& organisation = aRequest.mOrganisation;
-  const auto decision = mQuotas.Admit(
-    organisation, aLimit, SoleOwnerSince(organisation), mScheduler.Now());
-  const auto retryAfter =
-    std::chrono::duration_cast<std::chrono::milliseconds>(decision.mRetryAfter);
-  mLink.Send(owner_reply{ aRequest.mId,
-                          decision.mIsAdmitted,
+  if (const auto decision = DecideIfHeld(aRequest.mOrganisation, aLimit)) {
+    Reply(aRequest.mId, *decision, aFrom);
+    return;
+  }
+  mScheduler.Spawn(
+    [this, request = aRequest, limit = aLimit, aFrom](yield_context aYield) {
+      Reply(request.mId,
+            DecideAsOwner(request.mOrganisation, limit, aFrom, aYield),
+            aFrom);
+    });
+}
+
+void
+owner_client::Reply(std::uint64_t aRequestId,
+                    const quota_decision& aDecision,
+                    const udp_endpoint& aTo)
+{
+  const auto retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(
+    aDecision.mRetryAfter);
+  mLink.Send(owner_reply{ aRequestId,
+                          aDecision.mIsAdmitted,
                           static_cast<std::uint32_t>(retryAfter.count()) },
-             aFrom);
+             aTo);
+}
+
+owner_standing
+owner_client::StandingOf(const std::string& aOrganisation)
+{
+  return { mMembers.IsFirstOwner(aOrganisation), mMembers.Epoch() };
+}
+
+std::optional<quota_decision>
+owner_client::DecideIfHeld(const std::string& aOrganisation,
+                           const quota_limit& aLimit)
+{
+  const auto now = mScheduler.Now();
+  const auto standing = StandingOf(aOrganisation);
+  const auto place = mHoldings.PlaceOf(aOrganisation, standing, now);
+  if (!std::holds_alternative<quota_held>(place) ||
+      mTakeovers.count(aOrganisation) > 0) {
+    return std::nullopt;
+  }
+  mHoldings.Hold(aOrganisation, standing, now);
+  return mQuotas.Admit(
+    aOrganisation, aLimit, SoleOwnerSince(aOrganisation), now);
+}
+
+quota_decision
+owner_client::DecideAsOwner(const std::string& aOrganisation,
+                            const quota_limit& aLimit,
+                            const std::optional<udp_endpoint>& aAskedBy,
+                            yield_context aYield)
+{
+  for (int step = 0; step < kMaxDecisionSteps; ++step) {
+    if (const auto decision = DecideIfHeld(aOrganisation, aLimit)) {
+      return *decision;
+    }
+    const auto running = mTakeovers.find(aOrganisation);
+    if (running != mTakeovers.end()) {
+      const auto awaited = running->second;
+      awaited->mFinished.Wait(
+        mScheduler, kHandoverRequests * kHandoverReplyTimeout, aYield);
+      continue;
+    }
+    const auto place = mHoldings.PlaceOf(
+      aOrganisation, StandingOf(aOrganisation), mScheduler.Now());
+    const auto* handed = std::get_if<quota_handed_over>(&place);
+    // The instance that took it over does not hold it if it asks this one.
+    if (handed != nullptr && aAskedBy != handed->mTo) {
+      const auto decision = AskOwner(quota_request{ 0, aOrganisation },
+                                     handed->mTo,
+                                     kFirstReplyTimeout,
+                                     aYield);
+      if (decision) {
+        return *decision;
+      }
+      mHoldings.Forget(aOrganisation);
+      continue;
+    }
+    TakeOver(aOrganisation, aYield);
+  }
+  return { false, kFirstReplyTimeout };
+}
+
+void
+owner_client::RequestHandover(takeover& aTaking,
+                              const std::string& aOrganisation,
+                              const udp_endpoint& aFrom)
+{
+  auto& asked = aTaking.mAsked;
+  const bool isKnown =
+    std::find(asked.begin(), asked.end(), aFrom) != asked.end();
+  if (isKnown || aFrom.port() == 0 || aFrom == mLink.LocalAddress() ||
+      asked.size() >= kMaxHandoversAsked) {
+    return;
+  }
+  asked.push_back(aFrom);
+  const auto id = mNextId++;
+  aTaking.mAwaited.emplace(id, aFrom);
+  mLink.Send(quota_handover_request{ id, aOrganisation }, aFrom);
+}
+
+void
+owner_client::TakeOver(const std::string& aOrganisation, yield_context aYield)
+{
+  const auto taking = std::make_shared<takeover>();
+  mTakeovers[aOrganisation] = taking;
+  std::string previous;
+  for (const auto& owner :
+       mMembers.PreviousOwnersOf(aOrganisation, mScheduler.Now())) {
+    RequestHandover(*taking, aOrganisation, owner.mAddress);
+    previous += previous.empty() ? owner.mName : ' ' + owner.mName;
+  }
+  if (const auto holder = mHoldings.HandedOverTo(aOrganisation)) {
+    RequestHandover(*taking, aOrganisation, *holder);
+  }
+  for (int i = 0; i < kHandoverRequests; ++i) {
+    const auto deadline = mScheduler.Now() + kHandoverReplyTimeout;
+    while (!taking->mAwaited.empty() && mScheduler.Now() < deadline) {
+      taking->mReplyArrived.Wait(
+        mScheduler, deadline - mScheduler.Now(), aYield);
+    }
+    for (const auto& [id, address] : taking->mAwaited) {
+      mLink.Send(quota_handover_request{ id, aOrganisation }, address);
+    }
+  }
+  const auto now = mScheduler.Now();
+  mQuotas.Resume(
+    aOrganisation, taking->mStates, SoleOwnerSince(aOrganisation), now);
+  mHoldings.Hold(aOrganisation, StandingOf(aOrganisation), now);
+  mTakeovers.erase(aOrganisation);
+  taking->mFinished.Set();
+  Log(log_level::Info,
+      "quota_taken_over",
+      { { "organisation", aOrganisation },
+        { "previous", previous },
+        { "asked", std::to_string(taking->mAsked.size()) },
+        { "states", std::to_string(taking->mStates.size()) },
+        { "silent", std::to_string(taking->mAwaited.size()) } });
+}
+
+void
+owner_client::OnPeerRequest(const quota_handover_request& aRequest,
+                            const udp_endpoint& aFrom)
+{
+  const auto& organisation = aRequest.mOrganisation;
+  const auto now = mScheduler.Now();
+  quota_handover reply{ aRequest.mId, std::nullopt, {} };
+  // If both take it over at once, each begins on its own.
+  if (mTakeovers.count(organisation) == 0) {
+    const auto holder = mHoldings.HandedOverTo(organisation);
+    if (holder && *holder != aFrom) {
+      reply.mHeldBy = *holder;
+    }
+    reply.mState = mHoldings.HandedOverState(organisation, aFrom, now);
+    if (!reply.mState) {
+      reply.mState = mQuotas.Release(organisation, now);
+      mHoldings.HandOver(organisation, aFrom, reply.mState, now);
+    }
+  }
+  mLink.Send(reply, aFrom);
+}
+
+void
+owner_client::OnReply(const quota_handover& aReply)
+{
+  for (const auto& [organisation, taking] : mTakeovers) {
+    if (taking->mAwaited.erase(aReply.mId) > 0) {
+      if (aReply.mState) {
+        taking->mStates.push_back(*aReply.mState);
+      }
+      RequestHandover(*taking, organisation, aReply.mHeldBy);
+      taking->mReplyArrived.Set();
+      return;
+    }
+  }
 }
 
 void
@@ -265,6 +445,7 @@
   // would be dated to the next request.
   MembershipChangedAt();
   mQuotas.Prune(mScheduler.Now());
+  mHoldings.Prune(mScheduler.Now());
   mLocalShares.Prune(mScheduler.Now());
   mSendPermits.Prune(mScheduler.Now());
 }
--- a/modules/sharing/owner_client.h
+++ b/modules/sharing/owner_client.h
@@ -6,6 +6,7 @@
 #include "modules/sharing/member_table.h"
 #include "modules/sharing/peer_link.h"
 #include "modules/sharing/quota_bucket.h"
+#include "modules/sharing/quota_holdings.h"
 
 #include <optional>
 #include <unordered_map>
@@ -44,6 +45,10 @@
 /// ask it with one datagram per decision. For a quota they repeat the request
 /// once, then ask the second owner, and at last admit a local share of the
 /// rate. Without a reply of either owner nothing is sent to a limited target.
+///
+/// An instance that becomes the owner of a quota takes it over from its
+/// predecessor, with what that has admitted (quota_holdings). Without a reply
+/// of the predecessor it begins on its own.
 class owner_client
 {
 public:
@@ -79,6 +84,9 @@
                                                 int aPriority,
                                                 yield_context aYield);
 
+  /// Hands the organisation's quota over to the instance at aFrom.
+  void OnPeerRequest(const quota_handover_request& aRequest,
+                     const udp_endpoint& aFrom);
   /// Decides as the owner and replies to the instance at aFrom. aLimit: the
   /// organisation's limit in this instance's configuration.
   void OnPeerRequest(const quota_request& aRequest,
@@ -89,6 +97,7 @@
                      const udp_endpoint& aFrom);
   /// Ignored if the request it replies to has timed out.
   void OnReply(const owner_reply& aReply);
+  void OnReply(const quota_handover& aReply);
 
   /// Removes the quota state of organisations without recent requests. To be
   /// called regularly: it also records the time of membership changes.
@@ -101,6 +110,17 @@
     event mReplyArrived;
   };
 
+  /// A quota that is being taken over.
+  struct takeover
+  {
+    /// Replies that are awaited, by the id of the request.
+    std::unordered_map<std::uint64_t, udp_endpoint> mAwaited;
+    std::vector<udp_endpoint> mAsked;
+    std::vector<quota_state> mStates;
+    event mReplyArrived;
+    event mFinished;
+  };
+
   /// The first and the second owner of an item. Returns copies because the
   /// table may change while a reply is awaited.
   std::vector<fleet_member> OwnersOf(const std::string& aItem) const;
@@ -113,13 +133,39 @@
   /// takes over without a change of the registrations.
   steady_time SoleOwnerSince(const std::string& aOrganisation);
 
+  owner_standing StandingOf(const std::string& aOrganisation);
+
+  /// Decides on a request of the organisation if this instance holds its quota.
+  std::optional<quota_decision> DecideIfHeld(const std::string& aOrganisation,
+                                             const quota_limit& aLimit);
+
+  /// Decides as an owner: takes the quota over first if it is held elsewhere,
+  /// or forwards the request. aAskedBy: the instance that asks; none for a
+  /// request of this instance.
+  quota_decision DecideAsOwner(const std::string& aOrganisation,
+                               const quota_limit& aLimit,
+                               const std::optional<udp_endpoint>& aAskedBy,
+                               yield_context aYield);
+
+  /// Asks the instance for the quota, unless it has been asked.
+  void RequestHandover(takeover& aTaking,
+                       const std::string& aOrganisation,
+                       const udp_endpoint& aFrom);
+
+  /// Asks the earlier owners for the quota and holds it from then on.
+  void TakeOver(const std::string& aOrganisation, yield_context aYield);
+
+  void Reply(std::uint64_t aRequestId,
+             const quota_decision& aDecision,
+             const udp_endpoint& aTo);
+
   /// Logs that the owner did not reply and skips it for a while.
   void MarkUnresponsive(const fleet_member& aOwner, const std::string& aItem);
 
   /// Sends the request and waits for the reply; empty after aTimeout.
   template<typename Request>
   std::optional<quota_decision> AskOwner(Request aRequest,
-                                         const fleet_member& aOwner,
+                                         const udp_endpoint& aOwner,
                                          duration aTimeout,
                                          yield_context aYield);
 
@@ -127,6 +173,7 @@
   member_table& mMembers;
   peer_link& mLink;
   quota_buckets mQuotas;
+  quota_holdings mHoldings;
   /// Limits requests to a local share of each rate while no owner replies.
   quota_buckets mLocalShares;
   service_retry_budgets mRetries;
@@ -137,6 +184,7 @@
   std::uint64_t mNextId;
   std::unordered_map<std::uint64_t, std::shared_ptr<pending_request>>
     mPendingRequests;
+  std::unordered_map<std::string, std::shared_ptr<takeover>> mTakeovers;
 };
 
 } // namespace cowslipline
--- a/modules/sharing/peer_message.cpp
+++ b/modules/sharing/peer_message.cpp
@@ -28,6 +28,8 @@
   TargetLimit,
   TargetLimitsRequest,
   SendPermitRequest,
+  QuotaHandoverRequest,
+  QuotaHandover,
 };
 
 json
@@ -148,6 +150,84 @@
            aRequest.mPriority };
 }
 
+json
+Encode(const std::string& aSender, const quota_handover_request& aRequest)
+{
+  return { kProtocolVersion,
+           static_cast<int>(message_kind::QuotaHandoverRequest),
+           aSender,
+           aRequest.mId,
+           aRequest.mOrganisation };
+}
+
+json
+Encode(const std::string& aSender, const quota_handover& aHandover)
+{
+  json fields = { kProtocolVersion,
+                  static_cast<int>(message_kind::QuotaHandover),
+                  aSender,
+                  aHandover.mId,
+                  aHandover.mHeldBy.address().to_string(),
+                  aHandover.mHeldBy.port() };
+  if (aHandover.mState) {
+    const auto idleMs = aHandover.mState->mIdle / std::chrono::milliseconds(1);
+    fields.push_back(aHandover.mState->mTokens);
+    fields.push_back(static_cast<std::uint64_t>(
+      std::max<duration::rep>(0, static_cast<duration::rep>(idleMs))));
+    fields.push_back(aHandover.mState->mAdmitted);
+  }
+  return fields;
+}
+
+/// aFields: tokens, idle time in ms, and the requests of each part.
+std::optional<quota_state>
+DecodeQuotaState(const json& aTokens, const json& aIdleMs, const json& aParts)
+{
+  // Longer ones would overflow a duration; buckets expire sooner.
+  constexpr std::uint64_t kLongestIdleMs = 3'600'000;
+  if (!aTokens.is_number() || !std::isfinite(aTokens.get<double>()) ||
+      aTokens.get<double>() < 0 || !aIdleMs.is_number_unsigned() ||
+      !aParts.is_array() || aParts.size() != quota_state::kParts) {
+    return std::nullopt;
+  }
+  quota_state state;
+  state.mTokens = aTokens.get<double>();
+  state.mIdle = std::chrono::milliseconds(
+    std::min(aIdleMs.get<std::uint64_t>(), kLongestIdleMs));
+  for (std::size_t i = 0; i < state.mAdmitted.size(); ++i) {
+    if (!aParts[i].is_number_unsigned()) {
+      return std::nullopt;
+    }
+    state.mAdmitted[i] = static_cast<std::uint32_t>(
+      std::min<std::uint64_t>(aParts[i].get<std::uint64_t>(),
+                              std::numeric_limits<std::uint32_t>::max()));
+  }
+  return state;
+}
+
+/// The kinds of the id, the address and the port have been checked.
+result<peer_payload>
+DecodeHandover(const json& aFields)
+{
+  asio::error_code error;
+  const auto address =
+    asio::ip::make_address(aFields[4].get<std::string>(), error);
+  const auto port = aFields[5].get<std::uint64_t>();
+  if (error || port > std::numeric_limits<std::uint16_t>::max()) {
+    return Fail(errc::MessageMalformed);
+  }
+  quota_handover handover;
+  handover.mId = aFields[3];
+  handover.mHeldBy = { address, static_cast<std::uint16_t>(port) };
+  if (aFields.size() > 8) {
+    handover.mState = DecodeQuotaState(aFields[6], aFields[7], aFields[8]);
+    if (!handover.mState) {
+      return Fail(errc::MessageMalformed);
+    }
+  }
+  return handover;
+}
+
 result<peer_payload>
 DecodeLoad(const json& aRequests)
 {
@@ -258,6 +338,16 @@
         };
       }
       break;
+    case message_kind::QuotaHandoverRequest:
+      if (isUnsigned(3) && isString(4)) {
+        return quota_handover_request{ aFields[3], aFields[4] };
+      }
+      break;
+    case message_kind::QuotaHandover:
+      if (isUnsigned(3) && isString(4) && isUnsigned(5)) {
+        return DecodeHandover(aFields);
+      }
+      break;
   }
   return Fail(errc::MessageMalformed);
 }
--- a/modules/sharing/peer_message.h
+++ b/modules/sharing/peer_message.h
@@ -1,16 +1,22 @@
 #pragma once
 
 #include "core/result.h"
+#include "modules/sharing/quota_bucket.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
 
+#include <asio/ip/udp.hpp>
+
 namespace cowslipline {
 
+using udp_endpoint = asio::ip::udp::endpoint;
+
 /// Outcome of an exchange that the sender had with a target.
 struct target_report
 {
@@ -111,6 +117,25 @@
   std::uint64_t mGeneration = 0; ///< Of the store, for the revisions.
 };
 
+/// Asks the receiver to hand the organisation's quota over to the sender.
+struct quota_handover_request
+{
+  std::uint64_t mId = 0;
+  std::string mOrganisation;
+};
+
+/// Reply to a quota_handover_request, with its mId. The sender no longer
+/// decides on the organisation's requests.
+struct quota_handover
+{
+  std::uint64_t mId = 0;
+  /// Nothing if the sender has not decided on any request.
+  std::optional<quota_state> mState;
+  /// The instance that the sender had handed the quota over to before, which
+  /// has to be asked too; port 0: none.
+  udp_endpoint mHeldBy;
+};
+
 using peer_payload = std::variant<target_report,
                                   crash_report,
                                   load_report,
@@ -121,7 +146,9 @@
                                   changes_reply,
                                   target_limit_report,
                                   target_limits_request,
-                                  send_permit_request>;
+                                  send_permit_request,
+                                  quota_handover_request,
+                                  quota_handover>;
 
 /// A payload and the name of the instance that sent it.
 struct peer_message
--- a/modules/sharing/quota_bucket.cpp
+++ b/modules/sharing/quota_bucket.cpp
@@ -23,10 +23,6 @@
 // admitted before.
 constexpr double kInitialTokens = 1;
 
-// If an owner gets its next request for an organisation within this time, no
-// other owner has taken over in between.
-constexpr duration kMaxContinuousGap = 500ms;
-
 // Time constant of the exponential decay of the refusal count.
 constexpr duration kRefusalDecayTime = 1s;
 
@@ -113,6 +109,59 @@
   return { false, std::min<duration>(kMaxRetryAfter, retryAfter) };
 }
 
+std::optional<quota_state>
+quota_buckets::Release(std::string_view aOrganisation, steady_time aNow)
+{
+  const auto found = mBuckets.find(std::string(aOrganisation));
+  if (found == mBuckets.end()) {
+    return std::nullopt;
+  }
+  auto& bucket = found->second;
+  Advance(bucket, aNow);
+  quota_state state;
+  state.mTokens = std::max(0.0, bucket.mTokens);
+  state.mIdle = aNow - bucket.mLastRequestAt;
+  const auto count = bucket.mAdmitted.size();
+  const auto newest = static_cast<std::size_t>(bucket.mSlot) % count;
+  for (std::size_t age = 0; age < count; ++age) {
+    const auto part = std::min(age / kSlotsOfPart, quota_state::kParts - 1);
+    state.mAdmitted[part] += static_cast<std::uint32_t>(
+      bucket.mAdmitted[(newest + count - age) % count]);
+  }
+  mBuckets.erase(found);
+  return state;
+}
+
+void
+quota_buckets::Resume(std::string_view aOrganisation,
+                      const std::vector<quota_state>& aStates,
+                      steady_time aSoleOwnerSince,
+                      steady_time aNow)
+{
+  if (aStates.empty()) {
+    return;
+  }
+  const auto inserted = mBuckets.try_emplace(std::string(aOrganisation));
+  auto& bucket = inserted.first->second;
+  // What this instance knew before is outdated.
+  if (inserted.second || aNow - bucket.mLastRequestAt > kMaxContinuousGap) {
+    bucket.mTokens = aStates.front().mTokens;
+    bucket.mLastRequestAt = aNow - aStates.front().mIdle;
+  }
+  bucket.mSoleOwnerSince = aSoleOwnerSince;
+  Advance(bucket, aNow);
+  const auto count = bucket.mAdmitted.size();
+  const auto newest = static_cast<std::size_t>(bucket.mSlot) % count;
+  for (const auto& state : aStates) {
+    bucket.mTokens = std::min(bucket.mTokens, state.mTokens);
+    // Each part counts as admitted at its end, so never too short.
+    for (std::size_t part = 0; part < quota_state::kParts; ++part) {
+      bucket.mAdmitted[(newest + count - part * kSlotsOfPart) % count] +=
+        static_cast<float>(state.mAdmitted[part]);
+    }
+  }
+}
+
 void
 quota_buckets::Prune(steady_time aNow)
 {
--- a/modules/sharing/quota_bucket.h
+++ b/modules/sharing/quota_bucket.h
@@ -4,12 +4,18 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace cowslipline {
 
+/// If an owner gets its next request for an organisation within this time, no
+/// other owner has taken over in between.
+inline constexpr duration kMaxContinuousGap = std::chrono::milliseconds(500);
+
 /// An organisation's rate limit over the whole fleet: in any window at most
 /// rate x window + burst of its requests are admitted.
 struct quota_limit
@@ -36,18 +42,32 @@
   double mSlack = 20;      ///< Requests, added to mOvershoot.
 };
 
+/// What an owner knows of an organisation's quota, for the owner that takes it
+/// over.
+struct quota_state
+{
+  /// Parts of the window in which admitted requests are counted.
+  static constexpr std::size_t kParts = 50;
+
+  double mTokens = 0;  ///< When the organisation sent its last request.
+  duration mIdle{ 0 }; ///< Time since then.
+  /// Requests admitted in each part of the window, the latest part first.
+  std::array<std::uint32_t, kParts> mAdmitted{};
+};
+
 /// Rate limiter for the organisations whose quota this instance owns: a
 /// sliding-window limiter combined with a token bucket. An organisation that
 /// sends many times its rate gets its quota and no more, whichever instances
 /// its requests arrive at.
 ///
 /// The sliding window keeps the quota exactly; the token bucket spreads it over
-/// the window. Nothing is stored: an owner that has started or taken over
-/// begins with a nearly empty bucket and an empty window, because it does not
-/// know what was admitted before. The bucket's size and refill rate are such
-/// that the sum over successive owners stays within the tolerance. The bucket
-/// refills from the last membership change on, also for an organisation that
-/// has sent no request to this owner yet.
+/// the window. An owner that takes over continues with the state of its
+/// predecessor. If that does not reply, it begins with a nearly empty bucket
+/// and an empty window, because it does not know what was admitted before. The
+/// bucket's size and refill rate are such that the sum over successive owners
+/// stays within the tolerance. The bucket refills from the last membership
+/// change on, also for an organisation that has sent no request to this owner
+/// yet.
 class quota_buckets
 {
 public:
@@ -70,12 +90,26 @@
                        steady_time aSoleOwnerSince,
                        steady_time aNow);
 
+  /// Removes the organisation's bucket and returns its state; nothing if there
+  /// is none.
+  std::optional<quota_state> Release(std::string_view aOrganisation,
+                                     steady_time aNow);
+
+  /// Continues from the states of earlier owners. aSoleOwnerSince: as for
+  /// Admit().
+  void Resume(std::string_view aOrganisation,
+              const std::vector<quota_state>& aStates,
+              steady_time aSoleOwnerSince,
+              steady_time aNow);
+
   /// Removes the buckets of organisations without recent requests.
   void Prune(steady_time aNow);
 
 private:
   /// Slots into which the sliding window is divided.
   static constexpr std::size_t kWindowSlots = 100;
+  static constexpr std::size_t kSlotsOfPart =
+    kWindowSlots / quota_state::kParts;
 
   struct bucket
   {
--- a/modules/sharing/sharing.h
+++ b/modules/sharing/sharing.h
@@ -7,3 +7,4 @@
 #include "modules/sharing/peer_link.h"
 #include "modules/sharing/peer_message.h"
 #include "modules/sharing/quota_bucket.h"
+#include "modules/sharing/quota_holdings.h"
--- a/modules/sync/view_updater.cpp
+++ b/modules/sync/view_updater.cpp
@@ -239,7 +239,7 @@
   if (const auto* known = mView.mMembers.Find(aName)) {
     mDeparted.OnMemberRemoved(*known, mScheduler.Now());
   }
-  mView.mMembers.Remove(aName);
+  mView.mMembers.Remove(aName, mScheduler.Now());
   Log(
     log_level::Info, "member_left", { { "peer", aName }, { "cause", aCause } });
 }
--- a/tests/sharing/test_sharing.cpp
+++ b/tests/sharing/test_sharing.cpp
@@ -200,6 +200,107 @@
   }
 }
 
+// Guards against admitting a quota twice when its owner changes: the successor
+// counts what its predecessor admitted in the window.
+TEST(quota_buckets, ASuccessorContinuesWithItsPredecessorsState)
+{
+  const quota_limit limit{ 50, 50 };
+  quota_buckets first(kTolerance);
+  quota_buckets second(kTolerance);
+  std::vector<steady_time> admitted;
+  auto* owner = &first;
+  auto* other = &second;
+  for (int i = 0; i < 5000; ++i) {
+    const auto now = kStart + i * 4ms;
+    // The quota changes hands each second and a half.
+    if (i % 375 == 374) {
+      const auto state = owner->Release("lagos", now);
+      CHECK(state.has_value());
+      other->Resume("lagos", { *state }, kStart, now);
+      std::swap(owner, other);
+    }
+    if (owner->Admit("lagos", limit, kStart, now).mIsAdmitted) {
+      admitted.push_back(now);
+    }
+  }
+  SECTION("no window holds more than the quota")
+  {
+    CHECK(MaxInWindow(admitted, 5s) <= 300);
+  }
+  SECTION("nine tenths of the quota are still admitted")
+  {
+    CHECK(admitted.size() >= 20 * 60 * 9 / 10);
+  }
+  SECTION("an owner that has released a quota knows nothing of it")
+  {
+    CHECK_FALSE(other->Release("lagos", kStart + 20s).has_value());
+  }
+}
+
+TEST_GROUP(quota_holdings){};
+
+// Guards against two holders of one quota, and against a quota that stays with
+// an instance that no longer replies.
+TEST(quota_holdings, AQuotaIsHeldUntilItIsHandedOver)
+{
+  const udp_endpoint other(asio::ip::make_address("127.0.0.1"), 9);
+  const owner_standing first{ true, 3 };
+  const owner_standing replaced{ false, 4 };
+  quota_holdings holdings;
+  const auto isHeld = [&](const owner_standing& aStanding, steady_time aNow) {
+    return std::holds_alternative<quota_held>(
+      holdings.PlaceOf("lagos", aStanding, aNow));
+  };
+  const auto isHandedOver = [&](const owner_standing& aStanding,
+                                steady_time aNow) {
+    return std::holds_alternative<quota_handed_over>(
+      holdings.PlaceOf("lagos", aStanding, aNow));
+  };
+
+  SECTION("an instance that was never asked does not hold it")
+  {
+    CHECK_FALSE(isHeld(first, kStart));
+  }
+  holdings.Hold("lagos", first, kStart);
+  SECTION("the first owner holds it while the registrations stay the same")
+  {
+    CHECK(isHeld(first, kStart + 60s));
+  }
+  SECTION("after a change it does while it is asked all the time")
+  {
+    CHECK(isHeld(replaced, kStart + 400ms));
+    CHECK_FALSE(isHeld(replaced, kStart + 600ms));
+    CHECK_FALSE(isHeld({ true, 4 }, kStart + 600ms));
+  }
+  holdings.HandOver("lagos", other, quota_state{ 7, 0ms, {} }, kStart);
+  SECTION("what was handed over is decided by the other instance")
+  {
+    CHECK(isHandedOver(replaced, kStart + 5s));
+    CHECK_FALSE(isHandedOver(replaced, kStart + 11s));
+    CHECK(holdings.HandedOverTo("lagos") == other);
+  }
+  SECTION("the first owner takes it back after a second")
+  {
+    CHECK(isHandedOver(first, kStart + 900ms));
+    CHECK_FALSE(isHandedOver(first, kStart + 1100ms));
+  }
+  SECTION("a repeated request gets the same state again")
+  {
+    const auto repeated =
+      holdings.HandedOverState("lagos", other, kStart + 20ms);
+    CHECK(repeated.has_value());
+    DOUBLES_EQUAL(7, repeated->mTokens, 1e-9);
+    CHECK_FALSE(
+      holdings.HandedOverState("lagos", other, kStart + 1s).has_value());
+  }
+  SECTION("an instance that does not reply is forgotten")
+  {
+    holdings.Forget("lagos");
+    CHECK_FALSE(isHandedOver(replaced, kStart));
+    CHECK_FALSE(isHeld(replaced, kStart));
+  }
+}
+
 TEST_GROUP(member_table){};
 
 namespace {
@@ -227,7 +328,7 @@
   SECTION("a message does not restore a member whose registration is gone")
   {
     table.OnMessageFrom("i2");
-    table.Remove("i2");
+    table.Remove("i2", kStart);
     table.OnMessageFrom("i2");
     LONGS_EQUAL(2, table.Count(kStart));
     table.Put(Member("i2", "a"));
@@ -237,7 +338,7 @@
     member_table other(Member("i3", "b"));
     other.Put(Member("i3", "b"));
     other.Put(Member("i2", "a"));
-    table.Remove("i1");
+    table.Remove("i1", kStart);
     for (const auto* item : { "x", "y", "z", "w", "v", "u" }) {
       STRCMP_EQUAL(table.OwnersOf(item, 1, kStart)[0]->mName.c_str(),
                    other.OwnersOf(item, 1, kStart)[0]->mName.c_str());
@@ -255,7 +356,7 @@
     STRCMP_EQUAL(first[1]->mName.c_str(),
                  second.OwnersOf("x", 1, kStart)[0]->mName.c_str());
     CHECK_FALSE(second.IsFirstOwner("x"));
-    second.Remove(first[0]->mName);
+    second.Remove(first[0]->mName, kStart);
     CHECK(second.IsFirstOwner("x"));
   }
   SECTION("an instance that knows no other member owns every item")
@@ -299,6 +400,23 @@
     LONGS_EQUAL(3, table.Count(kStart + 16s));
     table.Put(Member("i2", "a"));
   }
+  SECTION("a new owner knows whom it replaces")
+  {
+    const auto order = table.OwnersOf("q", 3, kStart + 30s);
+    const auto owner = *order[0];
+    const auto heir = *order[1];
+    const auto last = *order[2];
+    member_table successor(heir);
+    for (const auto& member : { owner, heir, last }) {
+      successor.Put(member);
+    }
+    successor.Remove(owner.mName, kStart);
+    const auto previous = successor.PreviousOwnersOf("q", kStart + 1s);
+    LONGS_EQUAL(2, previous.size());
+    CHECK_EQUAL(owner.mName, previous[0].mName);
+    CHECK_EQUAL(last.mName, previous[1].mName);
+    LONGS_EQUAL(1, successor.PreviousOwnersOf("q", kStart + 20s).size());
+  }
   SECTION("owners do not depend on the order of the registrations")
   {
     member_table other(Member("i3", "b"));
@@ -331,6 +449,9 @@
       target_limit_report{ "t1", 1'700'000'000'000, true, 1.4, 20, true },
       target_limits_request{ 7 },
       send_permit_request{ 8, "t1", 1.4, 2 },
+      quota_handover_request{ 9, "lagos" },
+      quota_handover{ 9, std::nullopt, { asio::ip::address_v4(), 7 } },
+      quota_handover{ 9, quota_state{ 2.5, 30ms, { 1, 2, 3 } }, {} },
     };
     for (const auto& payload : payloads) {
       const auto bytes = EncodePeerMessage({ "i1", payload });
@@ -340,6 +461,20 @@
       STRCMP_EQUAL("i1", decoded->mSender.c_str());
     }
   }
+  SECTION("a handover keeps the state of the quota")
+  {
+    const auto decoded = DecodePeerMessage(EncodePeerMessage(
+      { "i1",
+        quota_handover{ 9,
+                        quota_state{ 2.5, 30ms, { 1, 2, 300 } },
+                        { asio::ip::address_v4::loopback(), 7 } } }));
+    CHECK(decoded.has_value());
+    const auto& handover = std::get<quota_handover>(decoded->mPayload);
+    DOUBLES_EQUAL(2.5, handover.mState->mTokens, 1e-9);
+    CHECK(handover.mState->mIdle == 30ms);
+    LONGS_EQUAL(300, handover.mState->mAdmitted[2]);
+    LONGS_EQUAL(7, handover.mHeldBy.port());
+  }
   SECTION("truncated, foreign and mistyped messages are refused")
   {
     const auto bytes = EncodePeerMessage({ "i1", quota_request{ 5, "lagos" } });
@@ -354,5 +489,11 @@
       EncodePeerMessage({ "i1", send_permit_request{ 8, "t1", -1, 0 } })));
     CHECK_FALSE(DecodePeerMessage(
       EncodePeerMessage({ "i1", send_permit_request{ 8, "t1", NAN, 0 } })));
+    CHECK_FALSE(DecodePeerMessage(EncodePeerMessage(
+      { "i1", quota_handover{ 9, quota_state{ -1, 0ms, {} }, {} } })));
+    CHECK_FALSE(
+      DecodePeerMessage(EncodeCbor({ 1, 13, "i1", 9, "127.0.0.1", 70'000 })));
+    CHECK_FALSE(DecodePeerMessage(
+      EncodeCbor({ 1, 13, "i1", 9, "127.0.0.1", 7, 2.5, 30, { 1, 2 } })));
   }
 }
