Placement: crashes of a target that is back under its id count

A request that crashes its targets reached both targets of a small service each time that it came (10 times, 20 crashes), with whatever else was at work there.

Cause: the detector counted different target ids and blocked at three. The crashes themselves were known: one target_went_down line for each, none of the requests refused. Ruled out: crashes that are not noticed, lost reports.

Crashes count now. A request that was sent before the target's last crash was broken by that one, so reports carry the age of the request. A crash after a block doubles it.

BlocksARequestThatCrashedThreeTargets states when requests were sent, which the count depends on now; what it checks is the same.

--- a/modules/placement/poison_request_detector.h
+++ b/modules/placement/poison_request_detector.h
@@ -3,10 +3,10 @@
 #include "core/time.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <unordered_map>
-#include <vector>
 
 namespace cowslipline {
 
@@ -15,32 +15,43 @@
 using request_fingerprint = std::uint64_t;
 
 /// Detects poison requests ("queries of death"), which crash every target that
-/// runs them, and blocks them for 60 s after the last crash. Without a block, a
-/// caller that keeps sending one would take down a service target by target.
+/// runs them, and blocks them after the third crash. Without a block, a caller
+/// that keeps sending one would take down a service target by target. Crashes
+/// count, not targets: those of a small service are back after some seconds,
+/// often under their ids.
 class poison_request_detector
 {
 public:
   /// Records that a target went down while it ran the request, as observed by
-  /// this instance or reported by another.
+  /// this instance or reported by another. aSentAt: when the request was sent
+  /// to the target. A request that was sent before the target's last crash
+  /// was broken by that one.
   void OnCrash(request_fingerprint aRequest,
                std::string_view aTarget,
+               steady_time aSentAt,
                steady_time aNow);
 
-  /// Records that a target answered the request, which clears it of suspicion.
-  void OnAnswer(request_fingerprint aRequest);
+  /// Records that a target served the request, which clears it of suspicion.
+  /// True if it was suspected.
+  bool OnServed(request_fingerprint aRequest);
 
   /// True when the request must not be sent to another target.
   bool IsBlocked(request_fingerprint aRequest, steady_time aNow) const;
 
-  /// Removes requests whose block has expired.
+  /// Removes requests that have not crashed a target for long.
   void Prune(steady_time aNow);
 
 private:
   struct suspect
   {
-    std::vector<std::string> mTargets; ///< Distinct targets that crashed.
+    std::size_t mCrashes = 0;
+    /// Time of the last crash, by target.
+    std::map<std::string, steady_time, std::less<>> mTargets;
     steady_time mLastCrash;
   };
+
+  static duration BlockDuration(const suspect& aSuspect);
+
   std::unordered_map<request_fingerprint, suspect> mSuspects;
 };
 
--- a/modules/proxy/fleet_evidence.cpp
+++ b/modules/proxy/fleet_evidence.cpp
@@ -30,6 +30,10 @@
   {
     aReport.mShouldRelay = mShouldRelay;
   }
+  void operator()(suspicion_cleared& aReport) const
+  {
+    aReport.mShouldRelay = mShouldRelay;
+  }
   void operator()(target_limit_report& aReport) const
   {
     aReport.mShouldRelay = mShouldRelay;
@@ -121,13 +125,27 @@
 
 void
 fleet_evidence::OnCrash(request_fingerprint aRequest,
-                        const std::string& aTarget)
+                        const std::string& aTarget,
+                        steady_time aSentAt)
 {
-  mCrashes.OnCrash(aRequest, aTarget, mScheduler.Now());
+  const auto now = mScheduler.Now();
+  mCrashes.OnCrash(aRequest, aTarget, aSentAt, now);
   Log(log_level::Warn,
       "target_went_down",
       { { "target", aTarget }, { "fingerprint", std::to_string(aRequest) } });
-  Spread(crash_report{ aRequest, aTarget, false }, true);
+  Spread(crash_report{ aRequest,
+                       aTarget,
+                       false,
+                       static_cast<std::uint32_t>((now - aSentAt) / 1ms) },
+         true);
+}
+
+void
+fleet_evidence::OnServed(request_fingerprint aRequest)
+{
+  if (mCrashes.OnServed(aRequest)) {
+    Spread(suspicion_cleared{ aRequest, false }, true);
+  }
 }
 
 void
@@ -150,7 +168,20 @@
 void
 fleet_evidence::OnReport(const crash_report& aReport)
 {
-  mCrashes.OnCrash(aReport.mFingerprint, aReport.mTarget, mScheduler.Now());
+  const auto now = mScheduler.Now();
+  mCrashes.OnCrash(aReport.mFingerprint,
+                   aReport.mTarget,
+                   now - std::chrono::milliseconds(aReport.mAgeMs),
+                   now);
+  if (aReport.mShouldRelay) {
+    Spread(aReport, false);
+  }
+}
+
+void
+fleet_evidence::OnReport(const suspicion_cleared& aReport)
+{
+  mCrashes.OnServed(aReport.mFingerprint);
   if (aReport.mShouldRelay) {
     Spread(aReport, false);
   }
--- a/modules/proxy/fleet_evidence.h
+++ b/modules/proxy/fleet_evidence.h
@@ -26,7 +26,12 @@
   void OnOutcome(const std::string& aTarget,
                  exchange_outcome aOutcome,
                  steady_time aSentAt);
-  void OnCrash(request_fingerprint aRequest, const std::string& aTarget);
+  /// A target went down while it ran a request that was sent at aSentAt.
+  void OnCrash(request_fingerprint aRequest,
+               const std::string& aTarget,
+               steady_time aSentAt);
+  /// A target served the request.
+  void OnServed(request_fingerprint aRequest);
   /// An answer to a request that was sent at aSentAt.
   void OnLimitSignal(const target_run& aTarget,
                      const limit_signal& aSignal,
@@ -35,6 +40,7 @@
   /// A message of another instance.
   void OnReport(const std::string& aSender, const target_report& aReport);
   void OnReport(const crash_report& aReport);
+  void OnReport(const suspicion_cleared& aReport);
   void OnReport(const std::string& aSender, const load_report& aReport);
   void OnReport(const std::string& aSender, const target_limit_report& aReport);
 
--- a/modules/proxy/proxy_instance.cpp
+++ b/modules/proxy/proxy_instance.cpp
@@ -206,6 +206,10 @@
     {
       mInstance.mReports.OnReport(aReport);
     }
+    void operator()(const suspicion_cleared& aReport) const
+    {
+      mInstance.mReports.OnReport(aReport);
+    }
     void operator()(const load_report& aReport) const
     {
       mInstance.mReports.OnReport(mMessage.mSender, aReport);
--- a/modules/proxy/request_handler.cpp
+++ b/modules/proxy/request_handler.cpp
@@ -436,9 +436,10 @@
                                     started->mStartedAt);
       }
       if (finished.mIsTargetDown) {
-        services.mReports.OnCrash(fingerprint, started->mTarget);
-      } else if (finished.mResponse) {
-        services.mCrashes.OnAnswer(fingerprint);
+        services.mReports.OnCrash(
+          fingerprint, started->mTarget, started->mStartedAt);
+      } else if (finished.mOutcome == exchange_outcome::Served) {
+        services.mReports.OnServed(fingerprint);
       }
       services.mReports.OnLimitSignal({ started->mTarget, startedAtMs },
                                       finished.mLimit,
--- a/modules/sharing/peer_message.cpp
+++ b/modules/sharing/peer_message.cpp
@@ -30,6 +30,7 @@
   SendPermitRequest,
   QuotaHandoverRequest,
   QuotaHandover,
+  SuspicionCleared,
 };
 
 json
@@ -46,7 +47,18 @@
 {
   return { kProtocolVersion, static_cast<int>(message_kind::Crash),
            aSender,          aReport.mFingerprint,
-           aReport.mTarget,  aReport.mShouldRelay };
+           aReport.mTarget,  aReport.mShouldRelay,
+           aReport.mAgeMs };
+}
+
+json
+Encode(const std::string& aSender, const suspicion_cleared& aReport)
+{
+  return { kProtocolVersion,
+           static_cast<int>(message_kind::SuspicionCleared),
+           aSender,
+           aReport.mFingerprint,
+           aReport.mShouldRelay };
 }
 
 json
@@ -261,6 +273,10 @@
   const auto unsignedOrZero = [&](std::size_t aIndex) -> std::uint64_t {
     return isUnsigned(aIndex) ? aFields[aIndex].get<std::uint64_t>() : 0;
   };
+  const auto saturated = [&](std::size_t aIndex) {
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(
+      unsignedOrZero(aIndex), std::numeric_limits<std::uint32_t>::max()));
+  };
   const auto isInteger = [&](std::size_t aIndex) {
     return aIndex < aFields.size() && aFields[aIndex].is_number_integer();
   };
@@ -273,17 +289,17 @@
     case message_kind::Outcome:
       if (isString(3) && isUnsigned(4) && isBoolean(5)) {
         return target_report{
-          aFields[3],
-          aFields[4],
-          aFields[5],
-          static_cast<std::uint32_t>(std::min<std::uint64_t>(
-            unsignedOrZero(6), std::numeric_limits<std::uint32_t>::max()))
+          aFields[3], aFields[4], aFields[5], saturated(6)
         };
       }
       break;
     case message_kind::Crash:
       if (isUnsigned(3) && isString(4) && isBoolean(5)) {
-        return crash_report{ aFields[3], aFields[4], aFields[5] };
+        crash_report report{ aFields[3], aFields[4], aFields[5] };
+        if (isUnsigned(6)) {
+          report.mAgeMs = saturated(6);
+        }
+        return report;
       }
       break;
     case message_kind::Load:
@@ -338,6 +354,11 @@
         };
       }
       break;
+    case message_kind::SuspicionCleared:
+      if (isUnsigned(3) && isBoolean(4)) {
+        return suspicion_cleared{ aFields[3], aFields[4] };
+      }
+      break;
     case message_kind::QuotaHandoverRequest:
       if (isUnsigned(3) && isString(4)) {
         return quota_handover_request{ aFields[3], aFields[4] };
--- a/modules/sharing/peer_message.h
+++ b/modules/sharing/peer_message.h
@@ -4,6 +4,7 @@
 #include "modules/sharing/quota_bucket.h"
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -33,6 +34,16 @@
   std::uint64_t mFingerprint = 0; ///< Hash that identifies the request.
   std::string mTarget;
   bool mShouldRelay = false;
+  /// Time since the request was sent to the target, ms. The largest value: not
+  /// known, as from instances of an earlier version.
+  std::uint32_t mAgeMs = std::numeric_limits<std::uint32_t>::max();
+};
+
+/// A target served a request that the sender suspected of crashing targets.
+struct suspicion_cleared
+{
+  std::uint64_t mFingerprint = 0;
+  bool mShouldRelay = false;
 };
 
 /// The sender's requests in flight by target. Replaces its previous report.
@@ -148,7 +159,8 @@
                                   target_limits_request,
                                   send_permit_request,
                                   quota_handover_request,
-                                  quota_handover>;
+                                  quota_handover,
+                                  suspicion_cleared>;
 
 /// A payload and the name of the instance that sent it.
 struct peer_message
--- a/tests/placement/test_placement.cpp
+++ b/tests/placement/test_placement.cpp
@@ -317,11 +317,12 @@
 TEST(poison_request_detector, BlocksARequestThatCrashedThreeTargets)
 {
   poison_request_detector detector;
-  detector.OnCrash(42, "t1", kStart);
-  detector.OnCrash(42, "t1", kStart + 1s);
-  detector.OnCrash(42, "t2", kStart + 2s);
+  detector.OnCrash(42, "t1", kStart - 1s, kStart);
+  // Another instance's request, broken by the same crash.
+  detector.OnCrash(42, "t1", kStart - 100ms, kStart + 1s);
+  detector.OnCrash(42, "t2", kStart + 1s, kStart + 2s);
   CHECK_FALSE(detector.IsBlocked(42, kStart + 2s));
-  detector.OnCrash(42, "t3", kStart + 3s);
+  detector.OnCrash(42, "t3", kStart + 2s, kStart + 3s);
   CHECK(detector.IsBlocked(42, kStart + 3s));
 
   SECTION("other requests are not blocked")
@@ -333,9 +334,29 @@
     CHECK(detector.IsBlocked(42, kStart + 60s));
     CHECK_FALSE(detector.IsBlocked(42, kStart + 64s));
   }
+  SECTION("a crash after the block blocks for twice as long")
+  {
+    detector.Prune(kStart + 70s);
+    detector.OnCrash(42, "t1", kStart + 69s, kStart + 70s);
+    CHECK(detector.IsBlocked(42, kStart + 189s));
+    CHECK_FALSE(detector.IsBlocked(42, kStart + 191s));
+  }
   SECTION("a response clears the request")
   {
-    detector.OnAnswer(42);
+    CHECK(detector.OnServed(42));
     CHECK_FALSE(detector.IsBlocked(42, kStart + 3s));
+    CHECK_FALSE(detector.OnServed(42));
+  }
+}
+
+// Guards against a poison request that is never blocked because the few targets
+// of its service come back under their ids.
+TEST(poison_request_detector, CountsEachCrashOfATargetThatCameBack)
+{
+  poison_request_detector detector;
+  for (int i = 0; i < 3; ++i) {
+    CHECK_FALSE(detector.IsBlocked(42, kStart + i * 5s));
+    detector.OnCrash(42, "t1", kStart + i * 5s, kStart + i * 5s + 100ms);
   }
+  CHECK(detector.IsBlocked(42, kStart + 11s));
 }
--- a/tests/proxy/edge_fixture.cpp
+++ b/tests/proxy/edge_fixture.cpp
@@ -62,6 +62,7 @@
   , mContext(aContext)
   , mId(std::move(aId))
   , mAcceptor(aContext, AnyPort())
+  , mAddress(mAcceptor.local_endpoint())
 {
   Accept();
 }
@@ -78,6 +79,13 @@
   mAcceptor.close(ignored);
 }
 
+void
+scripted_target::AcceptAgain()
+{
+  mAcceptor = asio::ip::tcp::acceptor(mContext, mAddress);
+  Accept();
+}
+
 target_entry
 scripted_target::Entry(std::string aService, std::string aZone) const
 {
@@ -85,7 +93,7 @@
   entry.mId = mId;
   entry.mService = std::move(aService);
   entry.mAvailabilityZone = std::move(aZone);
-  entry.mAddress = mAcceptor.local_endpoint();
+  entry.mAddress = mAddress;
   entry.mSlots = 6;
   return entry;
 }
--- a/tests/proxy/edge_fixture.h
+++ b/tests/proxy/edge_fixture.h
@@ -28,6 +28,8 @@
   const std::vector<http_request>& Requests() const { return mRequests; }
   std::size_t Connections() const { return mConnections; }
   void StopAccepting();
+  /// At the same address as before.
+  void AcceptAgain();
   script mScript;
 
 private:
@@ -36,6 +38,7 @@
   asio::io_context& mContext;
   std::string mId;
   asio::ip::tcp::acceptor mAcceptor;
+  tcp_endpoint mAddress;
   std::shared_ptr<bool> mIsAlive = std::make_shared<bool>(true);
   std::vector<http_request> mRequests;
   std::size_t mConnections = 0;
