--- a/tests/platform/test_store_feed.cpp
+++ b/tests/platform/test_store_feed.cpp
@@ -95,6 +95,18 @@
   R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":6,)"
   R"("state":"ready","cold-remaining-s":0,"seq":4})";
 
+std::vector<std::string>
+TargetsIn(const platform_changes& aChanges)
+{
+  std::vector<std::string> ids;
+  for (const auto& event : aChanges.mEvents) {
+    if (const auto* changed = std::get_if<target_changed>(&event)) {
+      ids.push_back(changed->mEntry.mId);
+    }
+  }
+  return ids;
+}
+
 const fleet_member kMember{ "i1",
                             "a",
                             { asio::ip::make_address("10.0.0.7"), 9 } };
@@ -155,6 +167,30 @@
   });
 }
 
+// Guards against an instance that no longer follows the targets because a page
+// ends with a key of another writer that breaks the next call.
+TEST(store_feed, ReadsOnBehindAnyKey)
+{
+  feed_fixture fixture;
+  fixture.mStore.mHandler = [](const std::string& aCall) {
+    const bool isSecond =
+      aCall.find("after=servers/odd%20one%0D%26 ") != aCall.npos;
+    return isSecond ? HttpReply(200,
+                                R"({"items":[)" +
+                                  StoreItem("servers/z-2", kTargetJson) +
+                                  R"(],"truncated":false,"as-of":99})")
+                    : HttpReply(200,
+                                R"({"items":[)" +
+                                  StoreItem("servers/odd one\\r&", "x") +
+                                  R"(],"truncated":true,"as-of":90})");
+  };
+  fixture.Run([&](yield_context aYield) {
+    const auto all = fixture.mFeed.ReadAll(aYield);
+    CHECK(all.has_value());
+    CHECK(TargetsIn(*all) == std::vector<std::string>{ "z-2" });
+  });
+}
+
 // Guards against confusing the store's error replies, and against reporting a
 // write as not done although the store may have executed it before the reply
 // was lost.
