--- a/tests/platform/test_store_feed.cpp
+++ b/tests/platform/test_store_feed.cpp
@@ -191,6 +191,23 @@
   });
 }
 
+// Guards against a process that ends because a document is nested so deeply
+// that copying it overflows the stack of its task.
+TEST(store_feed, RefusesRepliesThatAreNestedTooDeeply)
+{
+  const std::string nested =
+    std::string(100'000, '[') + std::string(100'000, ']');
+  feed_fixture fixture;
+  fixture.mStore.mHandler = [&](const std::string&) {
+    return HttpReply(200,
+                     R"({"events":[{"key":"servers/i-5","value":)" + nested +
+                       R"(,"revision":5}],"as-of":100})");
+  };
+  fixture.Run([&](yield_context aYield) {
+    CHECK_FALSE(fixture.mFeed.Watch({ 0, 7 }, 1ms, aYield).has_value());
+  });
+}
+
 // Guards against confusing the store's error replies, and against reporting a
 // write as not done although the store may have executed it before the reply
 // was lost.
