Platform: entries with numbers out of bounds name no target

An entry with 1e300 slots, a start or a warm-up time beyond its type was taken, with an undefined conversion: 4,294,967,295 slots on this machine, which draws nearly all requests of the service. An id with a line end would have added headers to each request.

--- a/tests/platform/test_entry_codec.cpp
+++ b/tests/platform/test_entry_codec.cpp
@@ -111,6 +111,61 @@
   }
 }
 
+// Guards against numbers that their types do not hold, whose conversion is
+// undefined, and against ids that break a header: such an entry of another
+// writer names no target.
+TEST(entry_codec, RejectsTargetEntriesOutOfBounds)
+{
+  const std::string valid =
+    R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":6,)"
+    R"("state":"ready","cold-remaining-s":1.5,"seq":4,"born":17})";
+  for (const auto& [from, to] :
+       std::vector<std::pair<std::string, std::string>>{
+         { "\"slots\":6", "\"slots\":1e300" },
+         { "\"slots\":6", "\"slots\":18446744073709551616" },
+         { "\"slots\":6", "\"slots\":1e999" },
+         { "\"slots\":6", "\"slots\":4294967295" },
+         { "\"cold-remaining-s\":1.5", "\"cold-remaining-s\":1e300" },
+         { "\"cold-remaining-s\":1.5", "\"cold-remaining-s\":-1e300" },
+         { "\"born\":17", "\"born\":1e300" },
+         { "\"born\":17", "\"born\":-1" },
+         { "10.0.0.9:80", "10.0.0.9:0" },
+         { "10.0.0.9:80", "10.0.0.9:70000" },
+         { "10.0.0.9:80", "10.0.0.9:-1" } }) {
+    auto text = valid;
+    text.replace(text.find(from), from.size(), to);
+    CHECK_FALSE(DecodeTarget("i-1", text).has_value());
+  }
+  CHECK_FALSE(DecodeTarget("i-1\r\nHost: other", valid).has_value());
+  CHECK_FALSE(DecodeTarget("", valid).has_value());
+
+  SECTION("an instance's entry needs a port, too")
+  {
+    for (const auto* port : { "0", "-1", "70000", "1e300" }) {
+      CHECK_FALSE(
+        DecodeMember("i1",
+                     R"({"zone":"a","ip":"10.0.0.7","run":3,"port":)" +
+                       std::string(port) + "}")
+          .has_value());
+    }
+  }
+  SECTION("deep nesting is refused, also within an object")
+  {
+    const std::string open(200'000, '[');
+    const std::string close(200'000, ']');
+    CHECK_FALSE(DecodeTarget("i-1", open + close).has_value());
+    auto text = valid;
+    text.insert(1, "\"x\":" + open + close + ',');
+    CHECK_FALSE(DecodeTarget("i-1", text).has_value());
+  }
+  SECTION("brackets in a string are no nesting")
+  {
+    auto text = valid;
+    text.insert(1, R"("x":")" + std::string(200, '[') + R"(\"[",)");
+    CHECK(DecodeTarget("i-1", text).has_value());
+  }
+}
+
 TEST(entry_codec, Base64RoundTrips)
 {
   for (const std::string text : { "", "a", "ab", "abc", "\xff\x00z" }) {
--- a/tests/platform/test_store_feed.cpp
+++ b/tests/platform/test_store_feed.cpp
@@ -208,6 +208,32 @@
   });
 }
 
+// Guards against an odd entry of another writer that keeps an instance from
+// following the targets beside it, or that is used as a target.
+TEST(store_feed, FollowsTheTargetsBesideOddEntries)
+{
+  const std::string nested =
+    std::string(100'000, '[') + std::string(100'000, ']');
+  auto tooLarge = kTargetJson;
+  tooLarge.replace(tooLarge.find("\"slots\":6"), 9, "\"slots\":1e300");
+  auto badPort = kTargetJson;
+  badPort.replace(badPort.find(":80"), 3, ":70000");
+  feed_fixture fixture;
+  fixture.mStore.mHandler = [&](const std::string&) {
+    return HttpReply(200,
+                     R"({"items":[)" + StoreItem("servers/i-0", nested) + ',' +
+                       StoreItem("servers/i-1", kTargetJson) + ',' +
+                       StoreItem("servers/i-2", tooLarge) + ',' +
+                       StoreItem("servers/i-3", badPort) +
+                       R"(],"truncated":false,"as-of":99})");
+  };
+  fixture.Run([&](yield_context aYield) {
+    const auto all = fixture.mFeed.ReadAll(aYield);
+    CHECK(all.has_value());
+    CHECK(TargetsIn(*all) == std::vector<std::string>{ "i-1" });
+  });
+}
+
 // Guards against confusing the store's error replies, and against reporting a
 // write as not done although the store may have executed it before the reply
 // was lost.
