Proxy: an answer without an id on a used connection belongs to no request

A faulty target that writes an earlier refusal once more, without its id, made the next request on that connection look refused: it was sent to a second target though the first ran it, or its caller was told "not run".

Cause: answers with another id were passed over, those without any were taken for the own one, and what a refusal states was believed.

On a connection that has served others such an answer now ends the exchange as one that may have run. On a new connection it is taken as before, except a 400, which is for requests without an id.

--- a/modules/proxy/target_exchange.cpp
+++ b/modules/proxy/target_exchange.cpp
@@ -26,6 +26,7 @@
 // A target that goes on sending answers of other requests has lost track.
 constexpr int kMostForeignAnswers = 4;
 
+constexpr int kStatusBadRequest = 400;
 constexpr int kStatusMisdirected = 421;
 
 bool
@@ -220,6 +221,10 @@
       mStream->Close();
       return Fail(exchange_outcome::Broken, true, "foreign_answer");
     }
+    if (!id && !IsAttributable(*response)) {
+      mStream->Close();
+      return Fail(exchange_outcome::Broken, true, "answer_without_id");
+    }
     if (id) {
       mLimit = LimitOf(response->mHead.mHeaders, mNames.mRateLimit);
     }
@@ -227,6 +232,15 @@
   }
 }
 
+bool
+target_exchange::IsAttributable(const http_response& aResponse) const
+{
+  // On a connection that served others it may have been written for one of
+  // them. A 400 that states "not run" is for requests that come without an id.
+  return mIsNewConnection && mForeignAnswers == 0 &&
+         aResponse.mHead.mStatus != kStatusBadRequest;
+}
+
 exchange_result
 target_exchange::Judge(http_response aResponse)
 {
--- a/modules/proxy/target_exchange.h
+++ b/modules/proxy/target_exchange.h
@@ -61,6 +61,8 @@
   /// False when no byte was sent.
   bool Send(steady_time aDeadline);
   exchange_result ReadAnswer(steady_time aDeadline, yield_context aYield);
+  /// True if an answer without an id can only be the one to this request.
+  bool IsAttributable(const http_response& aResponse) const;
   exchange_result Judge(http_response aResponse);
   exchange_result Fail(exchange_outcome aOutcome,
                        bool aMayHaveRun,
