Sharing: the owners of a quota are ranked once a decision

Finding the first owner hashes the name of each member. Two findings of the linter go with it: a reservation, and a structured binding that a section captures.

--- a/modules/sharing/member_table.cpp
+++ b/modules/sharing/member_table.cpp
@@ -192,6 +192,7 @@
       std::max(present, { RendezvousWeight(name, item), &state.mMember });
   }
   std::vector<fleet_member> previous;
+  previous.reserve(removed.size() + 1);
   for (const auto& [weight, member] : removed) {
     previous.push_back(*member);
   }
--- a/modules/sharing/owner_client.cpp
+++ b/modules/sharing/owner_client.cpp
@@ -90,10 +90,10 @@
 }
 
 steady_time
-owner_client::SoleOwnerSince(const std::string& aOrganisation)
+owner_client::SoleOwnerSince(const owner_standing& aStanding)
 {
   const auto since = MembershipChangedAt();
-  return mMembers.IsFirstOwner(aOrganisation) ? since : mScheduler.Now();
+  return aStanding.mIsFirstOwner ? since : mScheduler.Now();
 }
 
 template<typename Request>
@@ -279,8 +279,7 @@
     return std::nullopt;
   }
   mHoldings.Hold(aOrganisation, standing, now);
-  return mQuotas.Admit(
-    aOrganisation, aLimit, SoleOwnerSince(aOrganisation), now);
+  return mQuotas.Admit(aOrganisation, aLimit, SoleOwnerSince(standing), now);
 }
 
 quota_decision
@@ -363,9 +362,9 @@
     }
   }
   const auto now = mScheduler.Now();
-  mQuotas.Resume(
-    aOrganisation, taking->mStates, SoleOwnerSince(aOrganisation), now);
-  mHoldings.Hold(aOrganisation, StandingOf(aOrganisation), now);
+  const auto standing = StandingOf(aOrganisation);
+  mQuotas.Resume(aOrganisation, taking->mStates, SoleOwnerSince(standing), now);
+  mHoldings.Hold(aOrganisation, standing, now);
   mTakeovers.erase(aOrganisation);
   taking->mFinished.Set();
   Log(log_level::Info,
--- a/modules/sharing/owner_client.h
+++ b/modules/sharing/owner_client.h
@@ -131,7 +131,7 @@
   /// Since when no other instance can have decided on the organisation's
   /// requests. Now, if this instance is not the first owner: the second owner
   /// takes over without a change of the registrations.
-  steady_time SoleOwnerSince(const std::string& aOrganisation);
+  steady_time SoleOwnerSince(const owner_standing& aStanding);
 
   owner_standing StandingOf(const std::string& aOrganisation);
 
--- a/tests/proxy/test_repeated_refusals.cpp
+++ b/tests/proxy/test_repeated_refusals.cpp
@@ -84,7 +84,9 @@
     { "another target, without an id", Refusal(421, "") },
     { "limited, without an id", Refusal(429, "Not-Run: 1\r\n") },
   };
-  for (const auto& [name, refusal] : refusals) {
+  for (const auto& repeated : refusals) {
+    const auto* name = repeated.first;
+    const auto& refusal = repeated.second;
     edge_fixture fixture;
     int runs = 0;
     const repeating_target first(fixture, "w1", refusal, runs);
