--- /dev/null
+++ b/review/standins-2/lone_owners.cpp
@@ -0,0 +1,4 @@
+#include "stage.h"
+namespace review {
+int LoneOwners(const setting&) { return CannotRun; }
+}
--- /dev/null
+++ b/review/standins-2/store.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "net.h"
+
+#include <condition_variable>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+namespace review {
+
+/// The platform's store, as PROTOCOL.md describes it.
+class store
+{
+public:
+  /// What the store does with the calls that come to one of its ports.
+  struct port_mode
+  {
+    bool mIsSilent = false; ///< It does not answer this machine.
+  };
+
+  /// Age, in seconds, of the state that the pages of a serializable read show:
+  /// the first page and the others may come from different replicas.
+  void SetReadAges(double aFirstPage, double aOtherPages);
+  /// The next aCount writes of instances' keys are not answered, and done
+  /// after aDelay seconds.
+  void DelayRegistrations(int aCount, double aDelay);
+
+  /// Opens a port for the calls of one machine.
+  void Open(std::uint16_t aPort);
+  void SetSilent(std::uint16_t aPort, bool aIsSilent);
+
+  /// A write of the operator or a target. Returns when it is acknowledged.
+  void Put(const std::string& aKey, const std::string& aValue);
+  void Remove(const std::string& aKey);
+
+  std::vector<std::string> Keys(const std::string& aPrefix);
+  /// Writes of instances' keys that were not answered.
+  int Lost() const { return mLost; }
+  int Writes() const { return mWrites; }
+
+private:
+  struct event
+  {
+    double mAt = 0;
+    std::uint64_t mRevision = 0;
+    std::string mKey;
+    std::optional<std::string> mValue; ///< Not set: removed.
+    std::uint64_t mLease = 0;
+  };
+  struct item
+  {
+    std::string mValue;
+    std::uint64_t mRevision = 0;
+    std::uint64_t mCreated = 0;
+    std::uint64_t mLease = 0;
+  };
+  using items = std::map<std::string, item>;
+
+  void Serve(connection& aConnection, std::uint16_t aPort);
+  bool IsSilent(std::uint16_t aPort);
+  /// Not set: no answer is sent.
+  std::optional<std::pair<int, nlohmann::json>> Handle(const message& aCall,
+                                                       std::uint16_t aPort);
+  nlohmann::json Range(const headers& aQuery);
+  nlohmann::json Watch(const headers& aQuery, std::uint16_t aPort);
+  std::optional<std::pair<int, nlohmann::json>> Transact(
+    const nlohmann::json& aBody);
+  std::pair<int, nlohmann::json> Apply(const nlohmann::json& aBody);
+
+  // With mMutex held.
+  void Append(const std::string& aKey,
+              std::optional<std::string> aValue,
+              std::uint64_t aLease);
+  void EndLeases();
+  items StateAt(double aTime, std::uint64_t& aRevision) const;
+
+  std::mutex mMutex;
+  std::condition_variable mChanged;
+  std::vector<event> mEvents;
+  std::uint64_t mRevision = 100;
+  std::uint64_t mNextLease = 5000;
+  struct lease
+  {
+    double mLength = 0;
+    double mEnd = 0;
+  };
+  std::map<std::uint64_t, lease> mLeases;
+  std::map<std::uint16_t, port_mode> mPorts;
+  std::vector<std::unique_ptr<server>> mServers;
+  double mFirstPageAge = 0;
+  double mOtherPagesAge = 0;
+  int mToDelay = 0;
+  double mDelay = 0;
+  std::atomic<int> mLost{ 0 };
+  std::atomic<int> mWrites{ 0 };
+};
+
+std::string
+EncodeBase64(const std::string& aBytes);
+
+} // namespace review
