--- a/review/standins-2/edge.cpp
+++ b/review/standins-2/edge.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -113,6 +114,8 @@
   arguments.push_back(nullptr);
   const pid_t started = ::fork();
   if (started == 0) {
+    // It ends with the test, however that ends.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int output =
       ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     ::dup2(output, STDOUT_FILENO);
@@ -133,7 +136,7 @@
     return;
   }
   ::kill(mProcess, aSignal);
-  if (aSignal == 9) {
+  if (aSignal == SIGKILL) {
     ::waitpid(mProcess, nullptr, 0);
     mProcess = -1;
   }
--- a/review/standins-2/edge.h
+++ b/review/standins-2/edge.h
@@ -2,6 +2,8 @@
 
 #include "net.h"
 
+#include <csignal>
+
 #include <sys/types.h>
 
 namespace review {
@@ -21,7 +23,7 @@
   explicit edge(traits aTraits);
   edge(const edge&) = delete;
   edge& operator=(const edge&) = delete;
-  ~edge() { Signal(9); }
+  ~edge() { Signal(SIGKILL); }
 
   void Start();
   void Signal(int aSignal);
--- a/review/standins-2/leaving_target.cpp
+++ b/review/standins-2/leaving_target.cpp
@@ -15,7 +15,7 @@
 
 // It serves "for drain-s after the store has accepted that report and a little
 // longer".
-constexpr double kServesFor = kDrainBound + 1.2;
+constexpr double kServesFor = kDrainBound + 1.4;
 
 constexpr int kClients = 12;
 constexpr double kWork = 0.47;
@@ -27,11 +27,12 @@
 {
   record record(aSetting);
   static store store;
-  store.Put("op/config",
-            Configuration(
-              3,
-              { { "orders", "orders.example", "/cut/", "workshop", false, 4, 2 } },
-              { { "hronec", { "key-one" }, 0, 0 } }));
+  store.Put(
+    "op/config",
+    Configuration(
+      3,
+      { { "orders", "orders.example", "/cut/", "workshop", false, 4, 2 } },
+      { { "hronec", { "key-one" }, 0, 0 } }));
   static std::vector<std::unique_ptr<target>> targets;
   for (const auto* name : { "a", "b", "c" }) {
     target::traits traits;
@@ -47,11 +48,11 @@
   for (const auto* name : { "a", "b", "c" }) {
     ports.push_back(FreePort());
     store.Open(ports.back());
-    edges.push_back(std::make_unique<edge>(
-      edge::traits{ std::string("edge-") + name,
-                    std::string("zone-") + name,
-                    ports.back(),
-                    aSetting.mScratch }));
+    edges.push_back(
+      std::make_unique<edge>(edge::traits{ std::string("edge-") + name,
+                                           std::string("zone-") + name,
+                                           ports.back(),
+                                           aSetting.mScratch }));
     edges.back()->Start();
   }
   for (const auto& each : edges) {
@@ -67,6 +68,7 @@
   std::vector<exchange> exchanges;
   std::atomic<bool> isOver{ false };
   std::vector<std::thread> clients;
+  clients.reserve(kClients);
   for (int i = 0; i < kClients; ++i) {
     clients.emplace_back([&] {
       client client(*edges[0]);
@@ -141,8 +143,7 @@
   record.Line(std::to_string(broken) +
               " requests that were sent more than 2 s later reached i-a from "
               "edge-a; " +
-              std::to_string(lost) +
-              " of them were broken off when it exited");
+              std::to_string(lost) + " of them were broken off when it exited");
   const bool isServed =
     std::any_of(exchanges.begin(), exchanges.end(), [](const auto& aEach) {
       return aEach.mStatus == 200;
--- a/review/standins-2/lone_owners.cpp
+++ /dev/null
@@ -1,4 +0,0 @@
-#include "stage.h"
-namespace review {
-int LoneOwners(const setting&) { return CannotRun; }
-}
--- a/review/standins-2/net.cpp
+++ b/review/standins-2/net.cpp
@@ -75,8 +75,7 @@
 connection::Write(std::string_view aText) const
 {
   while (!aText.empty()) {
-    const auto sent =
-      ::send(mSocket, aText.data(), aText.size(), MSG_NOSIGNAL);
+    const auto sent = ::send(mSocket, aText.data(), aText.size(), MSG_NOSIGNAL);
     if (sent <= 0) {
       return false;
     }
@@ -92,9 +91,9 @@
   constexpr double kMilliseconds = 1000;
   const double left = aUntil - Now();
   pollfd readable{ mSocket, POLLIN, 0 };
-  const int wait =
-    aUntil <= 0 ? kForever
-                : static_cast<int>(std::max(0.0, left) * kMilliseconds);
+  const int wait = aUntil <= 0
+                     ? kForever
+                     : static_cast<int>(std::max(0.0, left) * kMilliseconds);
   if (::poll(&readable, 1, wait) != 1) {
     return false;
   }
@@ -194,7 +193,9 @@
   return text + "\r\n";
 }
 
-server::server(std::string aAddress, std::uint16_t aPort, handler aHandler)
+server::server(const std::string& aAddress,
+               std::uint16_t aPort,
+               handler aHandler)
   : mHandler(std::move(aHandler))
 {
   constexpr int kBacklog = 256;
@@ -211,8 +212,7 @@
   }
   std::thread([this] {
     while (true) {
-      const int accepted =
-        ::accept4(mListener, nullptr, nullptr, SOCK_CLOEXEC);
+      const int accepted = ::accept4(mListener, nullptr, nullptr, SOCK_CLOEXEC);
       if (mIsStopped || accepted < 0) {
         ::close(accepted);
         return;
@@ -239,16 +239,27 @@
 std::uint16_t
 FreePort()
 {
-  const int udp = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
-  const int tcp = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  auto address = AddressOf("127.0.0.1", 0);
-  socklen_t size = sizeof(address);
-  ::bind(tcp, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-  ::getsockname(tcp, reinterpret_cast<sockaddr*>(&address), &size);
-  ::bind(udp, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-  ::close(tcp);
-  ::close(udp);
-  return ntohs(address.sin_port);
+  // Below the ports that the system gives to outgoing connections.
+  constexpr int kFirst = 20'000;
+  constexpr int kCount = 10'000;
+  constexpr int kStep = 61;
+  static std::atomic<int> next{ ::getpid() * kStep };
+  while (true) {
+    const auto port = static_cast<std::uint16_t>(kFirst + next++ % kCount);
+    const auto address = AddressOf("127.0.0.1", port);
+    bool isFree = true;
+    for (const int kind : { SOCK_STREAM, SOCK_DGRAM }) {
+      const int tried = ::socket(AF_INET, kind | SOCK_CLOEXEC, 0);
+      isFree = ::bind(tried,
+                      reinterpret_cast<const sockaddr*>(&address),
+                      sizeof(address)) == 0 &&
+               isFree;
+      ::close(tried);
+    }
+    if (isFree) {
+      return port;
+    }
+  }
 }
 
 } // namespace review
--- a/review/standins-2/net.h
+++ b/review/standins-2/net.h
@@ -74,7 +74,7 @@
 public:
   using handler = std::function<void(connection&)>;
 
-  server(std::string aAddress, std::uint16_t aPort, handler aHandler);
+  server(const std::string& aAddress, std::uint16_t aPort, handler aHandler);
 
   /// Stops accepting; connections are reset by their handlers.
   void Stop();
--- a/review/standins-2/slow_readers.cpp
+++ b/review/standins-2/slow_readers.cpp
@@ -72,11 +72,12 @@
   static store store;
   const auto storePort = FreePort();
   store.Open(storePort);
-  store.Put("op/config",
-            Configuration(
-              3,
-              { { "status", "status.example", "/pay/", "ledger", true, 10, 5 } },
-              { { "hronec", { "key-one" }, 0, 0 } }));
+  store.Put(
+    "op/config",
+    Configuration(
+      3,
+      { { "status", "status.example", "/pay/", "ledger", true, 10, 5 } },
+      { { "hronec", { "key-one" }, 0, 0 } }));
   target::traits traits;
   traits.mService = "ledger";
   traits.mAnswerBytes = kAnswerBytes;
@@ -97,6 +98,7 @@
   std::mutex mutex;
   std::vector<reading> readings;
   std::vector<std::thread> clients;
+  clients.reserve(kClients);
   for (int i = 0; i < kClients; ++i) {
     clients.emplace_back([&] {
       const auto read = ReadSlowly(edge, aSetting.mHasTrouble ? kPause : 0);
--- a/review/standins-2/stage.cpp
+++ b/review/standins-2/stage.cpp
@@ -41,7 +41,7 @@
         { "priority", 1 },
         { "service", each.mService },
         { "attempts", 2 },
-        { "public", false } });
+        { "public", each.mIsPublic } });
   }
   auto services = json::array();
   for (const auto& name : names) {
@@ -59,16 +59,41 @@
                         { "rate-per-s", each.mRate },
                         { "burst", each.mBurst } });
   }
-  return json{ { "version", aVersion },
-               { "routes", routes },
-               { "services", services },
-               { "limits",
-                 { { "max-header-bytes", 16384 },
-                   { "max-body-bytes", 67108864 },
-                   { "header-timeout-s", 3 },
-                   { "idle-timeout-s", 15 } } },
-               { "tenants", tenants } }
-    .dump();
+  return json{
+    { "version", aVersion },
+    { "routes", routes },
+    { "services", services },
+    { "limits",
+      { { "max-header-bytes", 16384 },
+        { "max-body-bytes", 67108864 },
+        { "header-timeout-s", 3 },
+        { "idle-timeout-s", 15 } } },
+    { "tenants", tenants }
+  }.dump();
+}
+
+std::string
+LongConfiguration(int aVersion,
+                  std::vector<route> aRoutes,
+                  const std::vector<tenant>& aTenants,
+                  std::size_t aBytes)
+{
+  const auto size = [&](const std::vector<route>& aListed) {
+    return Configuration(aVersion, aListed, aTenants).size();
+  };
+  auto longer = aRoutes;
+  longer.push_back(
+    { "r-100000", "h100000.example", "/p100000/", aRoutes[0].mService });
+  const auto begun = size(aRoutes);
+  const auto count = (aBytes - begun) / (size(longer) - begun);
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto name = std::to_string(100'000 + i);
+    aRoutes.push_back({ "r-" + name,
+                        "h" + name + ".example",
+                        "/p" + name + '/',
+                        aRoutes[0].mService });
+  }
+  return Configuration(aVersion, aRoutes, aTenants);
 }
 
 std::string
@@ -111,8 +136,7 @@
   }
   asked.mSentAt = Now();
   mConnection->Write(Render(aRequest, asked.mId));
-  const auto answer =
-    mConnection->Read(aRequest.mDeadlineMs * kMillisecond);
+  const auto answer = mConnection->Read(aRequest.mDeadlineMs * kMillisecond);
   asked.mAnsweredAt = Now();
   if (!answer) {
     mConnection.reset();
@@ -143,7 +167,7 @@
   } cases[] = { { "stale-pages", StalePages },
                 { "leaving-target", LeavingTarget },
                 { "slow-readers", SlowReaders },
-                { "lone-owners", LoneOwners } };
+                { "long-changes", LongChanges } };
   if (aCount != 4) {
     std::fprintf(stderr, "usage: stage CASE FOLDER SCRATCH\n");
     return CannotRun;
--- a/review/standins-2/stage.h
+++ b/review/standins-2/stage.h
@@ -43,6 +43,7 @@
   bool mIsIdempotent = true;
   double mTimeout = 10;
   double mObjective = 5;
+  bool mIsPublic = false;
 };
 
 struct tenant
@@ -59,6 +60,13 @@
               const std::vector<route>& aRoutes,
               const std::vector<tenant>& aTenants);
 
+/// As Configuration(), with further routes up to aBytes.
+std::string
+LongConfiguration(int aVersion,
+                  std::vector<route> aRoutes,
+                  const std::vector<tenant>& aTenants,
+                  std::size_t aBytes);
+
 struct request
 {
   std::string mMethod = "GET";
@@ -110,6 +118,6 @@
 int
 SlowReaders(const setting& aSetting);
 int
-LoneOwners(const setting& aSetting);
+LongChanges(const setting& aSetting);
 
 } // namespace review
--- a/review/standins-2/stale_pages.cpp
+++ b/review/standins-2/stale_pages.cpp
@@ -22,21 +22,11 @@
 std::string
 Document(int aVersion, const std::vector<std::string>& aKeys)
 {
-  std::vector<route> routes = {
-    { "prices", "prices.example", "/prices/", "catalogue" }
-  };
-  const std::vector<tenant> tenants = { { "hronec", aKeys, 0, 0 } };
-  auto text = Configuration(aVersion, routes, tenants);
-  const auto each = Configuration(aVersion, { routes[0], routes[0] }, tenants);
-  const auto more = kConfigurationBytes / (each.size() - text.size());
-  for (std::size_t i = 0; i < more; ++i) {
-    const auto name = std::to_string(100'000 + i);
-    routes.push_back({ "r-" + name,
-                       "h" + name + ".example",
-                       "/p" + name + '/',
-                       "catalogue" });
-  }
-  return Configuration(aVersion, routes, tenants);
+  return LongConfiguration(
+    aVersion,
+    { { "prices", "prices.example", "/prices/", "catalogue" } },
+    { { "hronec", aKeys, 0, 0 } },
+    kConfigurationBytes);
 }
 
 } // namespace
--- a/review/standins-2/store.cpp
+++ b/review/standins-2/store.cpp
@@ -12,6 +12,9 @@
 constexpr std::size_t kItemsOfPage = 500;
 constexpr std::size_t kBytesOfPage = 1'000'000;
 
+// "20 s of history".
+constexpr double kHistory = 20;
+
 // "4 ms an answer".
 constexpr double kAnswerTime = 0.004;
 
@@ -82,9 +85,9 @@
   for (std::size_t i = 0; i < aBytes.size(); i += 3) {
     unsigned bits = 0;
     for (std::size_t j = 0; j < 3; ++j) {
-      bits = bits << 8U | (i + j < aBytes.size()
-                             ? static_cast<unsigned char>(aBytes[i + j])
-                             : 0U);
+      bits = bits << 8U |
+             (i + j < aBytes.size() ? static_cast<unsigned char>(aBytes[i + j])
+                                    : 0U);
     }
     for (std::size_t j = 0; j < 4; ++j) {
       text += i + j > aBytes.size()
@@ -229,8 +232,8 @@
   const std::lock_guard<std::mutex> lock(mMutex);
   EndLeases();
   const double age = NumberOf(aQuery, "serializable") != 1 ? 0
-                     : after.empty()                         ? mFirstPageAge
-                                                             : mOtherPagesAge;
+                     : after.empty()                       ? mFirstPageAge
+                                                           : mOtherPagesAge;
   std::uint64_t revision = 0;
   const auto state = StateAt(Now() - age, revision);
   auto listed = json::array();
@@ -241,8 +244,8 @@
       continue;
     }
     bytes += entry->first.size() + entry->second.mValue.size();
-    isTruncated = !listed.empty() && (listed.size() == kItemsOfPage ||
-                                      bytes > kBytesOfPage);
+    isTruncated = !listed.empty() &&
+                  (listed.size() == kItemsOfPage || bytes > kBytesOfPage);
     if (isTruncated) {
       break;
     }
@@ -257,7 +260,7 @@
            { "as-of", revision } };
 }
 
-json
+std::pair<int, json>
 store::Watch(const headers& aQuery, std::uint16_t aPort)
 {
   const auto prefix = TextOf(aQuery, "path-prefix");
@@ -269,6 +272,9 @@
     EndLeases();
     auto events = json::array();
     for (const auto& change : mEvents) {
+      if (change.mRevision > after && change.mAt < Now() - kHistory) {
+        return { 410, json::object() };
+      }
       if (change.mRevision <= after || !HasPrefix(change.mKey, prefix)) {
         continue;
       }
@@ -285,7 +291,7 @@
       }
     }
     if (!events.empty() || Now() >= until || mPorts[aPort].mIsSilent) {
-      return { { "events", events }, { "as-of", mRevision } };
+      return { 200, { { "events", events }, { "as-of", mRevision } } };
     }
     constexpr auto kPoll = std::chrono::milliseconds(20);
     mChanged.wait_for(lock, kPoll);
@@ -331,8 +337,8 @@
   double delay = 0;
   {
     const std::lock_guard<std::mutex> lock(mMutex);
-    const bool isRegistration = aBody.dump().find("/instances/") !=
-                                std::string::npos;
+    const bool isRegistration =
+      aBody.dump().find("/instances/") != std::string::npos;
     if (isRegistration && mToDelay > 0) {
       --mToDelay;
       delay = mDelay;
@@ -354,8 +360,8 @@
 {
   const auto space = aCall.mFirstLine.find(' ');
   const auto method = aCall.mFirstLine.substr(0, space);
-  const auto target = aCall.mFirstLine.substr(
-    space + 1, aCall.mFirstLine.rfind(' ') - space - 1);
+  const auto target =
+    aCall.mFirstLine.substr(space + 1, aCall.mFirstLine.rfind(' ') - space - 1);
   const auto path = target.substr(0, target.find('?'));
   const auto query = QueryOf(target);
   const auto body = json::parse(aCall.mBody, nullptr, false);
@@ -363,7 +369,7 @@
     return { { 200, Range(query) } };
   }
   if (path == "/-/kv-watch") {
-    return { { 200, Watch(query, aPort) } };
+    return Watch(query, aPort);
   }
   if (method != "GET") {
     ++mWrites;
--- a/review/standins-2/store.h
+++ b/review/standins-2/store.h
@@ -65,7 +65,8 @@
   std::optional<std::pair<int, nlohmann::json>> Handle(const message& aCall,
                                                        std::uint16_t aPort);
   nlohmann::json Range(const headers& aQuery);
-  nlohmann::json Watch(const headers& aQuery, std::uint16_t aPort);
+  std::pair<int, nlohmann::json> Watch(const headers& aQuery,
+                                       std::uint16_t aPort);
   std::optional<std::pair<int, nlohmann::json>> Transact(
     const nlohmann::json& aBody);
   std::pair<int, nlohmann::json> Apply(const nlohmann::json& aBody);
