--- a/review/10/run.sh
+++ b/review/8/run.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/../.."
 scratch="$(mktemp -d)"
 trap 'rm -rf "$scratch"' EXIT
-timeout 110 target/review-2/stage slow-readers review/10 "$scratch"
+timeout 110 target/review-2/stage leaving-target review/8 "$scratch"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/standins-2/stage.cpp
+++ b/review/standins-2/stage.cpp
@@ -167,7 +167,8 @@
   } cases[] = { { "stale-pages", StalePages },
                 { "leaving-target", LeavingTarget },
                 { "slow-readers", SlowReaders },
-                { "long-changes", LongChanges } };
+                { "long-changes", LongChanges },
+                { "foreign-entry", ForeignEntry } };
   if (aCount != 4) {
     std::fprintf(stderr, "usage: stage CASE FOLDER SCRATCH\n");
     return CannotRun;
--- a/review/standins-2/stage.h
+++ b/review/standins-2/stage.h
@@ -119,5 +119,7 @@
 SlowReaders(const setting& aSetting);
 int
 LongChanges(const setting& aSetting);
+int
+ForeignEntry(const setting& aSetting);
 
 } // namespace review
--- a/review/standins-2/target.cpp
+++ b/review/standins-2/target.cpp
@@ -63,6 +63,11 @@
 std::string
 target::Entry() const
 {
+  if (mTraits.mForeignEntry.is_object()) {
+    auto entry = mTraits.mForeignEntry;
+    entry["address"] = "127.0.0.1:" + std::to_string(mPort);
+    return entry.dump();
+  }
   return nlohmann::json{
     { "service", mTraits.mService },
     { "address", "127.0.0.1:" + std::to_string(mPort) },
--- a/review/standins-2/target.h
+++ b/review/standins-2/target.h
@@ -25,6 +25,9 @@
     std::string mZone = "zone-a";
     double mWork = 0.3;            ///< Seconds a request.
     std::size_t mAnswerBytes = 40; ///< Of the body.
+    /// What stands in the store instead of the usual entry; the address is
+    /// filled in.
+    nlohmann::json mForeignEntry = nullptr;
   };
 
   target(store& aStore, traits aTraits);
