--- a/review/standins-2/stage.cpp
+++ b/review/standins-2/stage.cpp
@@ -110,8 +110,10 @@
 {
   headers head{ { "Host", aRequest.mHost },
                 { "Attempt-Id", aId },
-                { "Deadline-Ms", std::to_string(aRequest.mDeadlineMs) },
-                { "Api-Key", aRequest.mKey } };
+                { "Deadline-Ms", std::to_string(aRequest.mDeadlineMs) } };
+  if (!aRequest.mKey.empty()) {
+    head["Api-Key"] = aRequest.mKey;
+  }
   if (aRequest.mMethod != "GET") {
     head["Content-Length"] = std::to_string(aRequest.mBody.size());
   }
