--- a/review/standins-2/target.cpp
+++ b/review/standins-2/target.cpp
@@ -119,10 +119,6 @@
     }
     const auto id = request->Header("attempt-id");
     headers head{ { "Attempt-Id", id } };
-    if (mIsLeaving) {
-      head["Server-Leaving"] = "1";
-      head["Connection"] = "close";
-    }
     if (request->Header("expect-instance") != mTraits.mId) {
       head["Not-Executed"] = "1";
       head["Content-Length"] = "0";
@@ -136,13 +132,18 @@
       EndRun(begun, "broken_off");
       return;
     }
+    const bool isLeaving = mIsLeaving;
+    if (isLeaving) {
+      head["Server-Leaving"] = "1";
+      head["Connection"] = "close";
+    }
     head["Response-Seal"] = "seal-" + id;
     head["Content-Length"] = std::to_string(mTraits.mAnswerBytes);
     const bool isWritten =
       aConnection.Write(RenderHead("HTTP/1.1 200 OK", head) +
                         std::string(mTraits.mAnswerBytes, 'x'));
     EndRun(begun, isWritten ? "ran" : "answer_not_taken");
-    if (!isWritten || mIsLeaving) {
+    if (!isWritten || isLeaving) {
       return;
     }
   }
