Edge: a part of an answer without a length is no success during an upload

What callers saw: a target answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got the part as a whole answer.

Cause: an answer without a length ends with its connection, so the reader has to tell an orderly end from a failure. The system reports the failure of a connection once, to the first call that meets it; every later read gets a plain end. The exchange writes the rest of a long request beside the read. That write took ECONNRESET, its handler only noted that the request was not written, and the read behind it returned 0 bytes, which ReadUntilEnd takes for the end of the body. The same happens without a reset when a target takes nothing of the upload for three seconds: the write takes ETIMEDOUT (TCP_USER_TIMEOUT).

Evidence: with a line printed at both calls, before the change: READ: 52 bytes, Success WRITE ends: Connection reset by peer (or: Connection timed out) READ: 0 bytes, End of file and the caller got 200 with "a part".

Change: tcp_stream owns the write that goes on beside reads. When a read meets an end after such a write has failed, Fill() returns the write's error. EPIPE alone is no failure of the answer: Linux gives it when the other side had ended its direction before the reset, so that a whole answer to an upload that is still being written is delivered as before. The write borrows the request's bytes now; it copied head and body before.

Tests: broken_answers (three, at an instance) and tcp_stream. Without the exception for EPIPE, tcp_stream fails in "an end, then a reset"; without the write's error it fails in "a reset". All of test_proxy passes (48 tests).

--- a/core/tcp_stream.cpp
+++ b/core/tcp_stream.cpp
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <asio/post.hpp>
 #include <asio/write.hpp>
 
 namespace cowslipline {
@@ -134,6 +135,24 @@
   return Finish(error);
 }
 
+void
+tcp_stream::StartWriting(std::vector<asio::const_buffer> aBuffers,
+                         std::shared_ptr<const void> aOwner)
+{
+  mIsWriting = true;
+  asio::async_write(mSocket,
+                    std::move(aBuffers),
+                    [this, alive = mIsAlive, owner = std::move(aOwner)](
+                      const asio::error_code& aError, std::size_t aBytes) {
+                      if (!*alive) {
+                        return;
+                      }
+                      mBytesWritten += aBytes;
+                      mIsWriting = false;
+                      mWriteError = aError;
+                    });
+}
+
 result<void>
 tcp_stream::Fill(steady_time aDeadline, yield_context aYield)
 {
@@ -143,7 +162,23 @@
   if (!readable) {
     return readable;
   }
-  return FillWithoutWaiting();
+  auto filled = FillWithoutWaiting();
+  if (filled || filled.error() != asio::error::eof) {
+    return filled;
+  }
+  // The system reports the failure of a connection once, to the first call that
+  // meets it, and an end to all later ones. If a started write was the first,
+  // its handler may still be queued.
+  if (mIsWriting) {
+    asio::error_code ignored;
+    asio::post(mSocket.get_executor(), aYield[ignored]);
+  }
+  // EPIPE: the other side had ended its direction before the connection failed,
+  // so that what was read is whole.
+  if (mWriteError && mWriteError != asio::error::broken_pipe) {
+    return Fail(mWriteError);
+  }
+  return filled;
 }
 
 result<void>
--- a/core/tcp_stream.h
+++ b/core/tcp_stream.h
@@ -40,7 +40,17 @@
                      steady_time aDeadline,
                      yield_context aYield);
 
-  /// Reads at least one byte more into the buffer.
+  /// Starts to write the buffers while the task goes on, without a deadline of
+  /// its own. aOwner keeps their memory until the write has ended. One write at
+  /// a time.
+  void StartWriting(std::vector<asio::const_buffer> aBuffers,
+                    std::shared_ptr<const void> aOwner);
+  /// False while a started write goes on, and after it has failed.
+  bool HasWrittenAll() const { return !mIsWriting && !mWriteError; }
+
+  /// Reads at least one byte more into the buffer. The end of a connection on
+  /// which a started write has failed is the error of that write, unless the
+  /// other side had ended its direction before.
   result<void> Fill(steady_time aDeadline, yield_context aYield);
 
   /// Takes the bytes that have arrived into the buffer without waiting. Errors:
@@ -81,6 +91,8 @@
   bool mIsTimedOut = false;
   std::uint64_t mTimerRound = 0;
   std::uint64_t mBytesWritten = 0;
+  bool mIsWriting = false;
+  asio::error_code mWriteError; ///< Of a started write.
   std::string mBuffer;
   std::size_t mStart = 0;
 };
--- a/modules/proxy/target_exchange.cpp
+++ b/modules/proxy/target_exchange.cpp
@@ -3,8 +3,6 @@
 #include <array>
 #include <charconv>
 
-#include <asio/write.hpp>
-
 namespace cowslipline {
 
 namespace {
@@ -176,20 +174,15 @@
     return false;
   }
   mIsSent = true;
-  const auto total = mHead.size() + mRequest->mBody.size();
-  if (written == total) {
-    mIsWritten = true;
-    return true;
+  const auto sentOfHead = std::min(written, mHead.size());
+  const auto sentOfBody = written - sentOfHead;
+  if (written < mHead.size() + mRequest->mBody.size()) {
+    // The rest is written while the answer is awaited: a target may answer
+    // before it has read a long body.
+    mStream->StartWriting({ asio::buffer(mHead) + sentOfHead,
+                            asio::buffer(mRequest->mBody) + sentOfBody },
+                          shared_from_this());
   }
-  // The rest is written while the answer is awaited: a target may answer
-  // before it has read a long body.
-  auto rest = std::make_shared<std::string>(mHead + mRequest->mBody);
-  asio::async_write(mStream->Socket(),
-                    asio::buffer(*rest) + written,
-                    [self = shared_from_this(),
-                     rest](const asio::error_code& aError, std::size_t) {
-                      self->mIsWritten = !aError;
-                    });
   return true;
 }
 
@@ -279,8 +272,9 @@
 void
 target_exchange::KeepConnection(const http_response& aResponse)
 {
-  const bool isReusable = aResponse.mIsConnectionReusable && mIsWritten &&
-                          mForeignAnswers == 0 && mStream->IsQuiet();
+  const bool isReusable = aResponse.mIsConnectionReusable &&
+                          mStream->HasWrittenAll() && mForeignAnswers == 0 &&
+                          mStream->IsQuiet();
   if (isReusable) {
     mPool.Put(mTargetId,
               std::move(mStream),
--- a/modules/proxy/target_exchange.h
+++ b/modules/proxy/target_exchange.h
@@ -81,7 +81,6 @@
   std::string mHead;
   bool mIsCancelled = false;
   bool mIsSent = false;
-  bool mIsWritten = false;
   bool mIsNewConnection = false;
   /// Answers to other requests that came in front.
   int mForeignAnswers = 0;
