Tests: broken and endless answers at the gateway of cowsliplined

The second data plane reads answers with its own reader. It refuses each answer without a length, whatever its connection does, reads only after the request is written or cannot go on, and treats an end and a reset alike; heads pass the parser that the edge uses. New: status 000, a blank or a control byte in a field name, a part without a length that is reset during an upload of 24 MiB, and ten kinds of bytes without end, of which the gateway takes less than 16 MiB.

--- a/tests/gateway/test_exchange.cpp
+++ b/tests/gateway/test_exchange.cpp
@@ -2,6 +2,8 @@
 #include "tests/gateway/gateway_fixture.h"
 #include "tests/story.h"
 
+#include <sys/socket.h>
+
 using namespace cowslipline;
 using namespace cowslipline::testing;
 
@@ -116,6 +118,22 @@
       "upstream_wrong_answer",
       "unknown" },
     { "is not HTTP", Raw("hello\r\n\r\n"), "upstream_wrong_answer", "unknown" },
+    { "answers with status 000",
+      Raw(answer("x", "", "000 OK")),
+      "upstream_wrong_answer",
+      "unknown" },
+    { "sends a blank in a field name",
+      Raw(answer("x", "Fil ler: 1\r\n", "200 OK")),
+      "upstream_wrong_answer",
+      "unknown" },
+    { "sends a blank behind the name of the length",
+      Raw("HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\nxy"),
+      "upstream_wrong_answer",
+      "unknown" },
+    { "sends a control byte in a field name",
+      Raw(answer("x", "Fil\x01ler: 1\r\n", "200 OK")),
+      "upstream_wrong_answer",
+      "unknown" },
     { "fails",
       Raw(answer("x", "", "500 Internal Server Error")),
       "upstream_failed",
@@ -390,6 +408,83 @@
   isDone = true;
 }
 
+// Guards against a part of an answer without a length that is taken for the
+// whole when its connection fails while the request is being written.
+TEST(connections, CarryNoPartOfAnAnswerDuringAnUpload)
+{
+  scripted_upstream upstream(
+    [&](const http_message&, test_socket& aSocket) {
+      aSocket.Send("HTTP/1.1 200 OK\r\n\r\na part");
+      aSocket.Reset();
+      return false;
+    },
+    false);
+  gateway_fixture fixture({ upstream.Port() }, {}, std::chrono::seconds(30));
+  const std::string body(std::size_t(24) << 20, 'a');
+  const auto answer = fixture.Call("POST", "/order", body, kIdempotencyKey);
+  LONGS_EQUAL(502, answer.Status());
+  CHECK(fixture.mDecisions.Reports() ==
+        (std::vector{ attempt_class::Incomplete }));
+}
+
+// Guards against bytes without end that fill the memory of the instance.
+TEST(connections, CutAnswersWithoutEnd)
+{
+  constexpr std::size_t kFloodBytes = std::size_t(64) << 20;
+  // What the buffers of a connection and the largest head hold.
+  constexpr std::size_t kMostTaken = std::size_t(16) << 20;
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string header = "Filler: " + std::string(4000, 'x') + "\r\n";
+  const std::string block(4096, 'x');
+  struct endless
+  {
+    const char* mName;
+    std::string mHead;
+    std::string mBlock;
+  };
+  const std::vector<endless> cases = {
+    { "a head", ok, header },
+    { "a line of a head", ok, block },
+    { "bytes that are no answer", "", std::string(4096, '%') },
+    { "interim answers", "", "HTTP/1.1 102 Processing\r\n\r\n" },
+    { "a body without a length", ok + "\r\n", block },
+    { "a body with a length",
+      ok + "Content-Length: 9000000000\r\n\r\n",
+      block },
+    { "chunks", chunked, "1\r\nx\r\n" },
+    { "a chunk that is too long", chunked + "ffffffffff\r\n", block },
+    { "the line of a chunk", chunked + "5;", block },
+    { "trailers", chunked + "0\r\n", header },
+  };
+  for (const auto& endless : cases) {
+    std::atomic<std::size_t> sent{ 0 };
+    scripted_upstream upstream([&](const http_message&, test_socket& aSocket) {
+      aSocket.Send(endless.mHead);
+      while (sent < kFloodBytes) {
+        const auto count = ::send(aSocket.Descriptor(),
+                                  endless.mBlock.data(),
+                                  endless.mBlock.size(),
+                                  MSG_NOSIGNAL);
+        if (count <= 0) {
+          break;
+        }
+        sent += static_cast<std::size_t>(count);
+      }
+      return false;
+    });
+    gateway_fixture fixture({ upstream.Port() });
+    SECTION(endless.mName)
+    {
+      const auto answer = fixture.Call("POST", "/small", "x");
+      LONGS_EQUAL(502, answer.Status());
+      CHECK(WaitUntil([&] { return upstream.Closed() == 1; }));
+      CHECK(sent < kMostTaken);
+      LONGS_EQUAL(0, fixture.mGateway->BodyBudget().Taken());
+    }
+  }
+}
+
 // Guards against an order on a connection that its upstream is closing, which
 // leaves the outcome unknown.
 TEST(connections, AreNewForOrders)
