Store client: a reply outside the protocol or without end is no value

What could happen: the clients of the platform's store and of its list of instances, which cowsliplined and the operators' tool use, kept a reply without end until the process ran out of memory, or ended it at once, and took replies outside the protocol for values.

Cause: the HTTP library that read the replies bounds neither a line nor a head nor a body, matches the status line with a recursive regular expression, and takes a blank or a control byte in a field name and two lengths as they come.

--- a/tests/platform/test_broken_replies.cpp
+++ b/tests/platform/test_broken_replies.cpp
@@ -1,6 +1,7 @@
 #include "core/http_message.h"
 #include "core/tcp_listener.h"
 #include "platform/http_instance_list.h"
+#include "platform/http_key_value_store.h"
 #include "tests/fakes/kept_context.h"
 #include "tests/story.h"
 
@@ -11,7 +12,19 @@
 
 namespace {
 
-/// Replies to every call with the same bytes.
+// More than any bound on a reply; a client that has none keeps all of it.
+constexpr std::size_t kFloodBytes = 48UL * 1024 * 1024;
+
+// Twice the largest reply, for what the buffers of the connection hold.
+constexpr std::size_t kMostTaken = 24UL * 1024 * 1024;
+
+enum class ending
+{
+  Close,
+  Reset,
+};
+
+/// Replies to every call with the same bytes, and with a block that it repeats.
 class raw_server
 {
 public:
@@ -30,6 +43,9 @@
   }
 
   std::string mReply;
+  std::string mBlock; ///< Sent until the caller closes, or kFloodBytes.
+  ending mEnding = ending::Close;
+  std::size_t mFloodSent = 0;
 
 private:
   void Serve(asio::io_context& aContext, asio::ip::tcp::socket aSocket)
@@ -40,8 +56,19 @@
       [this, stream](yield_context aYield) {
         const auto deadline = ReadBootClock() + 20s;
         const auto head = ReadHeadBytes(*stream, 9000, deadline, aYield);
-        if (head) {
-          stream->Write({ asio::buffer(mReply) }, deadline, aYield);
+        bool isOpen =
+          head &&
+          stream->Write({ asio::buffer(mReply) }, deadline, aYield).has_value();
+        mFloodSent = 0;
+        while (isOpen && !mBlock.empty() && mFloodSent < kFloodBytes) {
+          isOpen = stream->Write({ asio::buffer(mBlock) }, deadline, aYield)
+                     .has_value();
+          mFloodSent += mBlock.size();
+        }
+        if (mEnding == ending::Reset) {
+          asio::error_code ignored;
+          stream->Socket().set_option(asio::socket_base::linger(true, 0),
+                                      ignored);
         }
         stream->Close();
       },
@@ -74,6 +101,7 @@
   asio::io_context& mContext = cowslipline::testing::KeptContext();
   system_scheduler mScheduler{ mContext };
   raw_server mServer{ mContext };
+  http_key_value_store mStore{ mScheduler, mServer.Settings() };
   http_instance_list mInstances{ mScheduler, mServer.Settings() };
 };
 
@@ -88,6 +116,101 @@
 
 TEST_GROUP(broken_replies){};
 
+// Guards against a value that was cut or stands in a reply outside the
+// protocol, and that an instance then takes for the stored one.
+TEST(broken_replies, AreNoValues)
+{
+  struct broken
+  {
+    const char* mName;
+    std::string mReply;
+    ending mEnding = ending::Close;
+  };
+  const std::vector<broken> cases = {
+    { "cut in the body",
+      "HTTP/1.1 200 OK\r\nVersion: 5\r\nContent-Length: 9\r\n\r\nhalf" },
+    { "reset without a length",
+      "HTTP/1.1 200 OK\r\nVersion: 5\r\n\r\nhalf",
+      ending::Reset },
+    { "status 000",
+      "HTTP/1.1 000 OK\r\nVersion: 5\r\nContent-Length: 4\r\n\r\nbody" },
+    { "a blank behind a name", Whole("Version : 5\r\n", "body") },
+    { "a blank in a name", Whole("Version: 5\r\nFil ler: 1\r\n", "body") },
+    { "a control byte in a name",
+      Whole("Version: 5\r\nFil\x01ler: 1\r\n", "body") },
+    { "two lengths",
+      "HTTP/1.1 200 OK\r\nVersion: 5\r\nContent-Length: 2\r\n"
+      "Content-Length: 4\r\n\r\nbody" },
+  };
+  reply_fixture fixture;
+  fixture.Run([&](yield_context aYield) {
+    for (const auto& broken : cases) {
+      SECTION(broken.mName)
+      {
+        fixture.mServer.mReply = broken.mReply;
+        fixture.mServer.mEnding = broken.mEnding;
+        const auto read = fixture.mStore.Read("key", aYield);
+        CHECK(!read && read.error() == errc::StoreUnavailable);
+        // The value may have been written.
+        const auto written =
+          fixture.mStore.CompareAndSwap("key", 4, "value", aYield);
+        CHECK(!written && written.error() == errc::StoreAnswerLost);
+      }
+    }
+    SECTION("a whole reply is a value")
+    {
+      fixture.mServer.mEnding = ending::Close;
+      fixture.mServer.mReply = Whole("Version: 5\r\n", "body");
+      const auto read = fixture.mStore.Read("key", aYield);
+      CHECK(read && *read && (*read)->mValue == "body");
+      CHECK(read && *read && (*read)->mVersion == 5);
+      const auto written =
+        fixture.mStore.CompareAndSwap("key", 4, "value", aYield);
+      CHECK(written && *written == 5);
+    }
+  });
+}
+
+// Guards against a reply without end that fills the memory of the process.
+TEST(broken_replies, WithoutEndAreCut)
+{
+  struct endless
+  {
+    const char* mName;
+    std::string mReply;
+    std::string mBlock;
+  };
+  const std::string block(65'536, 'x');
+  const std::string head = "HTTP/1.1 200 OK\r\nVersion: 5\r\n";
+  const std::vector<endless> cases = {
+    { "a status line", "HTTP/1.1 200 ", block },
+    { "a line of a head", head + "Filler: ", block },
+    { "a head", head, "Filler: " + std::string(4000, 'x') + "\r\n" },
+    { "a body without a length", head + "\r\n", block },
+    { "a body with a length",
+      head + "Content-Length: 9000000000\r\n\r\n",
+      block },
+    { "chunks",
+      head + "Transfer-Encoding: chunked\r\n\r\n",
+      "1000\r\n" + std::string(0x1000, 'x') + "\r\n" },
+  };
+  reply_fixture fixture;
+  fixture.Run([&](yield_context aYield) {
+    for (const auto& endless : cases) {
+      SECTION(endless.mName)
+      {
+        fixture.mServer.mReply = endless.mReply;
+        fixture.mServer.mBlock = endless.mBlock;
+        const auto read = fixture.mStore.Read("key", aYield);
+        CHECK(!read && read.error() == errc::StoreUnavailable);
+        CHECK(fixture.mServer.mFloodSent < kMostTaken);
+        CHECK(!fixture.mInstances.Read(aYield));
+        CHECK(fixture.mServer.mFloodSent < kMostTaken);
+      }
+    }
+  });
+}
+
 // Guards against an entry of another shape in the instance list that ends the
 // process.
 TEST(broken_replies, OddInstancesAreLeftOut)
