Store client: a reply without a version is no value

What could happen: a reply 200 whose field Version was missing or no number was read as a value of version 0. That is the version of a key that does not exist, so a value could be replaced as if there were none; a write could seem to have made version 0.

Cause: the result of the conversion was not looked at.

--- a/tests/platform/test_broken_replies.cpp
+++ b/tests/platform/test_broken_replies.cpp
@@ -116,8 +116,8 @@
 
 TEST_GROUP(broken_replies){};
 
-// Guards against a value that was cut or stands in a reply outside the
-// protocol, and that an instance then takes for the stored one.
+// Guards against a value that was cut, has no version or stands in a reply
+// outside the protocol, and that an instance then takes for the stored one.
 TEST(broken_replies, AreNoValues)
 {
   struct broken
@@ -134,6 +134,8 @@
       ending::Reset },
     { "status 000",
       "HTTP/1.1 000 OK\r\nVersion: 5\r\nContent-Length: 4\r\n\r\nbody" },
+    { "no version", Whole("", "body") },
+    { "a version that is no number", Whole("Version: 5x\r\n", "body") },
     { "a blank behind a name", Whole("Version : 5\r\n", "body") },
     { "a blank in a name", Whole("Version: 5\r\nFil ler: 1\r\n", "body") },
     { "a control byte in a name",
