Tests: broken and endless replies to the store feed of the edge

New: a part of the state that ends with a reset, with the connection or before its length, status 000, a blank or a control byte in a field name, and the six floods.

--- a/tests/platform/test_broken_replies.cpp
+++ b/tests/platform/test_broken_replies.cpp
@@ -2,6 +2,7 @@
 #include "core/tcp_listener.h"
 #include "platform/http_instance_list.h"
 #include "platform/http_key_value_store.h"
+#include "platform/store_feed.h"
 #include "tests/fakes/kept_context.h"
 #include "tests/story.h"
 
@@ -37,6 +38,7 @@
       mListener.Open({ asio::ip::make_address("127.0.0.1"), 0 }).has_value());
   }
 
+  tcp_endpoint Address() const { return mListener.LocalAddress(); }
   store_settings Settings() const
   {
     return { "127.0.0.1", mListener.LocalAddress().port(), 2s };
@@ -103,6 +105,7 @@
   raw_server mServer{ mContext };
   http_key_value_store mStore{ mScheduler, mServer.Settings() };
   http_instance_list mInstances{ mScheduler, mServer.Settings() };
+  store_feed mFeed{ mContext, mServer.Address() };
 };
 
 std::string
@@ -173,6 +176,47 @@
   });
 }
 
+// Guards against a part of the store's state, or a reply outside the protocol,
+// that an instance of the edge daemon takes for the whole state.
+TEST(broken_replies, AreNoStateOfTheStore)
+{
+  const std::string state = R"({"as-of":7,"items":[]})";
+  const std::string length =
+    "Content-Length: " + std::to_string(state.size()) + "\r\n\r\n" + state;
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  struct broken
+  {
+    const char* mName;
+    std::string mReply;
+    ending mEnding = ending::Close;
+  };
+  const std::vector<broken> cases = {
+    { "reset without a length", ok + "\r\n" + state, ending::Reset },
+    { "cut in the body", ok + length.substr(0, length.size() - 1) },
+    { "status 000", "HTTP/1.1 000 OK\r\n" + length },
+    { "a blank in a name", ok + "Fil ler: 1\r\n" + length },
+    { "a control byte in a name", ok + "Fil\x01ler: 1\r\n" + length },
+  };
+  reply_fixture fixture;
+  fixture.Run([&](yield_context aYield) {
+    for (const auto& broken : cases) {
+      SECTION(broken.mName)
+      {
+        fixture.mServer.mReply = broken.mReply;
+        fixture.mServer.mEnding = broken.mEnding;
+        const auto read = fixture.mFeed.ReadAll(read_state::Latest, aYield);
+        CHECK(!read && read.error() == errc::StoreAnswerLost);
+      }
+    }
+    SECTION("a whole reply is the state")
+    {
+      fixture.mServer.mReply = ok + length;
+      const auto read = fixture.mFeed.ReadAll(read_state::Latest, aYield);
+      CHECK(read && read->mPosition.mRevision == 7);
+    }
+  });
+}
+
 // Guards against a reply without end that fills the memory of the process.
 TEST(broken_replies, WithoutEndAreCut)
 {
@@ -208,6 +252,8 @@
         CHECK(fixture.mServer.mFloodSent < kMostTaken);
         CHECK(!fixture.mInstances.Read(aYield));
         CHECK(fixture.mServer.mFloodSent < kMostTaken);
+        CHECK(!fixture.mFeed.ReadAll(read_state::Latest, aYield));
+        CHECK(fixture.mServer.mFloodSent < kMostTaken);
       }
     }
   });
