Store feed: a page that repeats ends the read

What could happen: an instance that reads the whole state of the store reads on as long as pages say that more follows. A store that answers each call with the same page is read without end, and all of it is kept.

Cause: nothing checked that a page goes on behind the last one.

--- a/tests/platform/test_store_feed.cpp
+++ b/tests/platform/test_store_feed.cpp
@@ -234,6 +234,26 @@
   });
 }
 
+// Guards against a store whose pages repeat: an instance would read on without
+// end and keep all of them.
+TEST(store_feed, GivesUpPagesThatRepeat)
+{
+  constexpr int kMostCalls = 1000;
+  feed_fixture fixture;
+  fixture.mStore.mHandler = [&](const std::string&) {
+    const bool isTruncated = fixture.mStore.mCalls.size() < kMostCalls;
+    return HttpReply(200,
+                     R"({"items":[)" + StoreItem("servers/z-1", kTargetJson) +
+                       R"(],"truncated":)" + (isTruncated ? "true" : "false") +
+                       R"(,"as-of":90})");
+  };
+  fixture.Run([&](yield_context aYield) {
+    const auto all = fixture.mFeed.ReadAll(read_state::Latest, aYield);
+    CHECK(!all && all.error() == errc::StoreUnavailable);
+    LONGS_EQUAL(2, fixture.mStore.mCalls.size());
+  });
+}
+
 // Guards against a process that ends because a document is nested so deeply
 // that copying it overflows the stack of its task.
 TEST(store_feed, RefusesRepliesThatAreNestedTooDeeply)
