Tests: peers that send bytes without end

Seven floods at the links between instances of cowsliplined, from both sides: before the upgrade, in a message, in its fragments, and in the reply to the upgrade. The WebSocket library bounds heads and messages.

--- a/tests/fleet/test_peer_channel.cpp
+++ b/tests/fleet/test_peer_channel.cpp
@@ -1,4 +1,6 @@
 #include "core/hash.h"
+#include "core/http_message.h"
+#include "core/tcp_listener.h"
 #include "modules/fleet/peer_frame.h"
 #include "modules/fleet/websocket_peer_channel.h"
 #include "tests/story.h"
@@ -35,6 +37,36 @@
   return { "127.0.0.1", aChannel.Port() };
 }
 
+constexpr std::size_t kFloodBytes = 48UL * 1024 * 1024;
+
+// What the buffers of a connection and the largest message hold.
+constexpr std::size_t kMostTaken = 16UL * 1024 * 1024;
+
+/// Sends the block until the other side closes, at most kFloodBytes. Returns
+/// what was sent.
+std::size_t
+Flood(tcp_stream& aStream, const std::string& aBlock, yield_context aYield)
+{
+  std::size_t sent = 0;
+  while (
+    sent < kFloodBytes &&
+    aStream.Write({ asio::buffer(aBlock) }, ReadBootClock() + 10s, aYield)) {
+    sent += aBlock.size();
+  }
+  return sent;
+}
+
+/// The head of an unmasked WebSocket frame with a length of eight bytes.
+std::string
+FrameHead(char aFirst, char aMask, std::uint64_t aLength)
+{
+  std::string head{ aFirst, static_cast<char>(aMask | 127) };
+  for (int shift = 56; shift >= 0; shift -= 8) {
+    head += static_cast<char>((aLength >> shift) & 0xff);
+  }
+  return head;
+}
+
 } // namespace
 
 TEST_GROUP(peer_channel)
@@ -246,3 +278,83 @@
     CHECK(isHeld);
   }
 }
+
+// Guards against a peer, or whatever else connects, that sends bytes without
+// end and fills the memory of the instance.
+TEST(peer_channel, CutsBytesWithoutEnd)
+{
+  constexpr std::uint64_t kFragment = 65'536;
+  const std::string upgrade =
+    "GET /peer HTTP/1.1\r\nHost: peer\r\nConnection: Upgrade\r\n"
+    "Upgrade: websocket\r\nSec-WebSocket-Version: 13\r\n"
+    "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
+  const std::string mask(4, '\0');
+  const std::string header = "Filler: " + std::string(4000, 'x') + "\r\n";
+  const std::string block(65'536, 'x');
+  struct endless
+  {
+    const char* mName;
+    std::string mStart;
+    std::string mBlock;
+  };
+  const std::vector<endless> requests = {
+    { "the line of a request", "GET /", block },
+    { "the head of a request", "GET /peer HTTP/1.1\r\n", header },
+    { "a message",
+      upgrade + FrameHead('\x82', '\x80', 1ULL << 40) + mask,
+      block },
+    { "fragments of a message",
+      upgrade + FrameHead('\x02', '\x80', kFragment) + mask + block,
+      FrameHead('\0', '\x80', kFragment) + mask + block },
+  };
+  const std::vector<endless> replies = {
+    { "the line of a reply", "HTTP/1.1 101 ", block },
+    { "the head of a reply", "HTTP/1.1 101 Switching\r\n", header },
+    { "a head with a field outside the protocol",
+      "HTTP/1.1 101 Switching\r\nFil\x01ler : 1\r\n\r\n",
+      block },
+  };
+  auto channel = OpenChannel(mScheduler, mMetrics, "left");
+  RunTask([&](yield_context aYield) {
+    for (const auto& endless : requests) {
+      SECTION(endless.mName)
+      {
+        tcp_stream stream(mContext);
+        const tcp_endpoint address(asio::ip::make_address("127.0.0.1"),
+                                   channel->Port());
+        CHECK(
+          stream.Connect(address, ReadBootClock() + 5s, aYield).has_value());
+        stream.Write(
+          { asio::buffer(endless.mStart) }, ReadBootClock() + 5s, aYield);
+        CHECK(Flood(stream, endless.mBlock, aYield) < kMostTaken);
+      }
+    }
+    for (const auto& endless : replies) {
+      SECTION(endless.mName)
+      {
+        std::optional<std::size_t> sent;
+        tcp_listener other(mContext, [&](asio::ip::tcp::socket aSocket) {
+          const auto stream = std::make_shared<tcp_stream>(std::move(aSocket));
+          mScheduler.Spawn([&, stream](yield_context aOwnYield) {
+            ReadHeadBytes(*stream, 9000, ReadBootClock() + 5s, aOwnYield);
+            stream->Write({ asio::buffer(endless.mStart) },
+                          ReadBootClock() + 5s,
+                          aOwnYield);
+            sent = Flood(*stream, endless.mBlock, aOwnYield);
+          });
+        });
+        CHECK(
+          other.Open({ asio::ip::make_address("127.0.0.1"), 0 }).has_value());
+        channel->SetAddress(endless.mName,
+                            { "127.0.0.1", other.LocalAddress().port() });
+        CHECK(!channel->Call(endless.mName, "echo", "", 5s, aYield));
+        while (!sent) {
+          mScheduler.SleepFor(10ms, aYield);
+        }
+        CHECK(*sent < kMostTaken);
+        other.Close();
+      }
+    }
+    channel->Stop();
+  });
+}
