Tool: the status of an instance is read with a bound

What could happen: `cowslipline status` kept whatever the admin address sent, without end, as the store's client did, with the same library.

Change: it uses CallOnce() with 4 MiB and 2 s for the whole reply.

Evidence: tool.ALongStatusIsNoAnswer took 48 MiB for a status before the change and answers "no answer" now; a status behind 1 MiB of blanks is read in both.

--- a/apps/cowslipline/admin_client.cpp
+++ b/apps/cowslipline/admin_client.cpp
@@ -1,9 +1,10 @@
 #include "apps/cowslipline/admin_client.h"
 
-#include <chrono>
+#include "core/bounded_json.h"
+#include "platform/http_call.h"
 
-#include <httplib.h>
-#include <nlohmann/json.hpp>
+#include <chrono>
+#include <optional>
 
 namespace cowslipline {
 
@@ -12,6 +13,33 @@
 constexpr std::chrono::seconds kTimeout{ 2 };
 constexpr int kStatusOk = 200;
 
+// A status names each target's decisions.
+constexpr std::size_t kMaxStatusBytes = 4UL * 1024 * 1024;
+
+/// The body of the reply; nothing without a whole reply with status 200.
+std::optional<std::string>
+FetchStatus(const endpoint& aAdmin)
+{
+  http_call call;
+  call.mHost = aAdmin.mHost;
+  call.mPort = aAdmin.mPort;
+  call.mMethod = "GET";
+  call.mTarget = "/status";
+  call.mConnectTimeout = kTimeout;
+  call.mReplyTimeout = kTimeout;
+  call.mReplyBytes = kMaxStatusBytes;
+  std::optional<std::string> body;
+  asio::io_context context;
+  asio::spawn(context, [&](yield_context aYield) {
+    auto reply = CallOnce(context, call, aYield);
+    if (reply && reply->mHead.mStatus == kStatusOk) {
+      body = std::move(reply->mBody);
+    }
+  });
+  context.run();
+  return body;
+}
+
 } // namespace
 
 instance_status
@@ -19,14 +47,11 @@
 {
   instance_status status;
   status.mAddress = aAdmin.mHost + ":" + std::to_string(aAdmin.mPort);
-  httplib::Client client(aAdmin.mHost, aAdmin.mPort);
-  client.set_connection_timeout(kTimeout);
-  client.set_read_timeout(kTimeout);
-  const auto answer = client.Get("/status");
-  if (!answer || answer->status != kStatusOk) {
+  const auto text = FetchStatus(aAdmin);
+  if (!text) {
     return status;
   }
-  const auto body = nlohmann::json::parse(answer->body, nullptr, false);
+  const auto body = ParseBoundedJson(*text);
   if (!body.is_object() || !body.contains("instance") ||
       !body["instance"].is_string() || !body.contains("version") ||
       !body["version"].is_number_unsigned() || !body.contains("ready") ||
--- a/tests/configuration/test_tool.cpp
+++ b/tests/configuration/test_tool.cpp
@@ -201,6 +201,19 @@
   }
 }
 
+// Guards against a status that is too long for any instance and that the tool
+// keeps in memory.
+TEST(tool, ALongStatusIsNoAnswer)
+{
+  const auto admin = "--admin=" + mStore.Address();
+  const std::string whole =
+    R"({"instance": "hronec-1", "version": 1, "ready": true})";
+  mStore.mStatus = std::string(std::size_t(1) << 20, ' ') + whole;
+  CHECK(Contains(Run({ "status", admin }).mOutput, "hronec-1  version 1"));
+  mStore.mStatus = std::string(std::size_t(48) << 20, ' ') + whole;
+  CHECK(Contains(Run({ "status", admin }).mOutput, "no answer"));
+}
+
 // Guards against a wrong command line that does something.
 TEST(tool, WrongUseHasItsExitCode)
 {
