Tests: endless answers where the tests left them out

The tests played floods that come fast, to requests without a body, in place of an answer. New at an instance: a body with a length of 9 GB, a flood while the request is still being written, one behind a whole answer on a kept connection, and one of single bytes up to the caller's deadline.

--- a/tests/proxy/test_endless_answers.cpp
+++ b/tests/proxy/test_endless_answers.cpp
@@ -83,6 +83,9 @@
     { "chunks",
       std::string(kSignedHead) + "Transfer-Encoding: chunked\r\n\r\n",
       chunk },
+    { "a body with a length",
+      std::string(kSignedHead) + "Content-Length: 9000000000\r\n\r\n",
+      std::string(65'536, 'x') },
     { "the line of a chunk",
       std::string(kSignedHead) + "Transfer-Encoding: chunked\r\n\r\n5;",
       std::string(4096, 'x') },
@@ -166,3 +169,77 @@
     CHECK(most <= kLimit);
   });
 }
+
+// Guards against the same bytes where the tests above leave them out: while the
+// request is still being written, behind a whole answer, and slowly.
+TEST(endless_answers, AreCutAtAnyTime)
+{
+  edge_fixture fixture;
+  SECTION("while the request is being written")
+  {
+    auto configuration = fixture.Configuration(5);
+    configuration.mLimits.mBodyBytes = 24UL * 1024 * 1024;
+    fixture.mFeed.Publish(configuration);
+    auto& target = fixture.AddTarget(
+      "w1",
+      "workshop",
+      SendingWithoutEnd(
+        fixture, std::string(kSignedHead) + "\r\n", std::string(65'536, 'x')));
+    fixture.Run([&](yield_context aYield) {
+      const auto answer = fixture.Call("POST",
+                                       "/cuts/1",
+                                       aYield,
+                                       "Key: key-1\r\nAnswer-Early: 1\r\n",
+                                       std::string(12UL * 1024 * 1024, 'x'));
+      LONGS_EQUAL(502, answer ? answer->mHead.mStatus : 0);
+      LONGS_EQUAL(1, target.Requests().size());
+      LONGS_EQUAL(0, Gauge(fixture, "cowslipline_buffered_body_bytes"));
+    });
+    target.StopAccepting();
+    fixture.mFeed.RemoveTarget("w1");
+  }
+  SECTION("behind a whole answer")
+  {
+    int ended = 0;
+    fixture.AddTarget(
+      "t1",
+      "catalogue",
+      [&](const http_request& aRequest,
+          tcp_stream& aStream,
+          yield_context aYield) {
+        SendText(aStream, GoodAnswer(aRequest, "whole"), aYield);
+        while (SendText(aStream, std::string(65'536, 'x'), aYield)) {
+        }
+        ++ended;
+        return false;
+      });
+    fixture.Run([&](yield_context aYield) {
+      for (int i = 1; i <= 3; ++i) {
+        const auto answer = fixture.Call("GET", "/specs/1", aYield);
+        LONGS_EQUAL(200, answer ? answer->mHead.mStatus : 0);
+        STRCMP_EQUAL("whole", answer ? answer->mBody.c_str() : "none");
+        while (ended < i) {
+          fixture.Sleep(5ms, aYield);
+        }
+      }
+    });
+    fixture.mFeed.RemoveTarget("t1");
+  }
+  SECTION("slowly, up to the caller's deadline")
+  {
+    auto& slow = fixture.AddTarget(
+      "w2",
+      "workshop",
+      SendingWithoutEnd(fixture, std::string(kSignedHead) + "\r\n", "x", 20ms));
+    fixture.Run([&](yield_context aYield) {
+      const auto answer = fixture.Call(
+        "POST", "/cuts/1", aYield, "Key: key-1\r\nLeft-Ms: 600\r\n", "x");
+      LONGS_EQUAL(504, answer ? answer->mHead.mStatus : 0);
+      LONGS_EQUAL(1, slow.Requests().size());
+      while (Gauge(fixture, "cowslipline_requests_in_flight") > 0) {
+        fixture.Sleep(5ms, aYield);
+      }
+      LONGS_EQUAL(0, Gauge(fixture, "cowslipline_buffered_body_bytes"));
+    });
+  }
+}
