Edge: at the end of a planned stop open requests get an answer

What callers saw: requests that were passed on during a planned stop and whose target was still at work at the end of the grace time ended with a closed connection, without an answer, among them requests that may not be repeated.

Cause: Leave() waited for the requests in flight and, 0.3 s before the end of the grace time, returned; the process ended with their connections open.

Change: a last phase of the shutdown gives the requests in flight up with the answer that any given-up request gets: 503 with Retry-After if nothing was passed on, otherwise 502, which promises nothing. The process waits up to 0.2 s for callers to take these, within the margin that it kept before.

Evidence: leaving_instances.AnswerEveryRequestBeforeTheGraceEnds at an instance with a grace time of 6 s and silent targets. Before the change: expected 502, was 0 (the connection had no answer when Leave() returned). Now both requests have their 502, and neither was sent twice. The part on a request that is whole late (refused with 503, not passed on) passed before.

--- a/apps/cowslipline-edge/main.cpp
+++ b/apps/cowslipline-edge/main.cpp
@@ -39,7 +39,7 @@
   0  ended gracefully, or the settings are correct
   1  cannot start, for example because an address is already in use
   2  the settings are wrong
-  3  the grace period ended with requests in progress, which were cut off
+  3  the grace period ended with requests in progress, which were given up
 )";
 
 constexpr int kExitCannotStart = 1;
--- a/modules/proxy/caller_session.cpp
+++ b/modules/proxy/caller_session.cpp
@@ -89,6 +89,14 @@
   }
 }
 
+void
+caller_session::EndRequests()
+{
+  for (const auto& open : mExchanges) {
+    open->mHandler.OnInstanceEnding();
+  }
+}
+
 bool
 caller_session::WaitForRequest(yield_context aYield)
 {
@@ -429,4 +437,14 @@
   }
 }
 
+void
+caller_listener::EndRequests()
+{
+  for (const auto& weak : mSessions) {
+    if (const auto session = weak.lock()) {
+      session->EndRequests();
+    }
+  }
+}
+
 } // namespace cowslipline
--- a/modules/proxy/caller_session.h
+++ b/modules/proxy/caller_session.h
@@ -44,6 +44,9 @@
   /// Closes the connection when no request is on it.
   void CloseIfIdle();
 
+  /// Gives up the requests on the connection, with their final answers.
+  void EndRequests();
+
 private:
   /// Waits for the first bytes of a request; false when there will be none.
   bool WaitForRequest(yield_context aYield);
@@ -105,6 +108,7 @@
   tcp_endpoint LocalAddress() const { return mListener.LocalAddress(); }
   void StopAccepting() { mListener.Close(); }
   void CloseIdle();
+  void EndRequests();
   std::size_t Connections() const { return mSessions.size(); }
 
 private:
--- a/modules/proxy/proxy_instance.cpp
+++ b/modules/proxy/proxy_instance.cpp
@@ -20,9 +20,12 @@
 // Requests that arrive later could not finish within the grace time.
 constexpr duration kUntilRefusing = 3200ms;
 
-// Left of the grace time when the last answers are given up.
+// Left of the grace time when the requests in flight are given up.
 constexpr duration kExitMargin = 300ms;
 
+// Part of this margin in which their callers take the answers.
+constexpr duration kFinalAnswersTime = 200ms;
+
 constexpr duration kDrainPoll = 20ms;
 constexpr duration kReadyPoll = 20ms;
 
@@ -441,13 +444,20 @@
     }
     mScheduler.SleepFor(kDrainPoll, aYield);
   }
+  const auto cut = mServices.mRequestsInFlight;
+  mServices.mPhase = lifecycle_phase::Ending;
+  mListener.EndRequests();
+  while (mListener.Connections() > 0 &&
+         mScheduler.Now() < end + kFinalAnswersTime) {
+    mScheduler.SleepFor(kDrainPoll, aYield);
+    mListener.CloseIdle();
+  }
   mSync.Stop();
   mZone.Stop();
   mIsStopped = true;
   mReadiness.Close();
   mMetricsPage.Close();
   mLink->Close();
-  const auto cut = mServices.mRequestsInFlight;
   Log(log_level::Info,
       "left",
       { { "cut", std::to_string(cut) },
--- a/modules/proxy/proxy_services.h
+++ b/modules/proxy/proxy_services.h
@@ -18,6 +18,7 @@
   Serving,
   Leaving,  ///< Not ready any more; requests are served, connections closed.
   Refusing, ///< New requests are refused; those in flight finish.
+  Ending,   ///< Those still in flight get their final answers.
 };
 
 /// What the tasks of one process share. They run on one thread.
--- a/modules/proxy/request_handler.cpp
+++ b/modules/proxy/request_handler.cpp
@@ -102,6 +102,12 @@
   mProgress->mChanged.Set();
 }
 
+void
+request_handler::OnInstanceEnding()
+{
+  mProgress->mChanged.Set();
+}
+
 proxy_answer
 request_handler::Refuse(int aStatus,
                         refusal_cause aCause,
@@ -130,7 +136,8 @@
 request_handler::Authorise(yield_context aYield)
 {
   const auto now = mServices.mScheduler.Now();
-  if (mServices.mPhase == lifecycle_phase::Refusing) {
+  if (mServices.mPhase == lifecycle_phase::Refusing ||
+      mServices.mPhase == lifecycle_phase::Ending) {
     return Refuse(503, refusal_cause::Leaving, kShortestReturn);
   }
   mRoutes = mServices.mView.mRoutes;
@@ -256,6 +263,9 @@
     if (now + kLeastTime >= mDeadline) {
       return GiveUp(refusal_cause::DeadlinePassed);
     }
+    if (mServices.mPhase == lifecycle_phase::Ending) {
+      return GiveUp(refusal_cause::Leaving);
+    }
     MarkOverdue();
     if (!HasOpenAttempt()) {
       if (mMayHaveRun && mRoute->mRepeat != repeat_rule::Idempotent) {
@@ -375,6 +385,9 @@
   if (mIsCallerGone) {
     return refusal_cause::CallerGone;
   }
+  if (mServices.mPhase == lifecycle_phase::Ending) {
+    return refusal_cause::Leaving;
+  }
   const auto now = mServices.mScheduler.Now();
   if (!mRoute->mIsPublic && mOrganisation != nullptr &&
       !mServices.mView.mFreshness.IsFresh(now)) {
--- a/modules/proxy/request_handler.h
+++ b/modules/proxy/request_handler.h
@@ -33,6 +33,9 @@
   /// broken off.
   void OnCallerGone();
 
+  /// The instance ends: the request is given up, with an answer.
+  void OnInstanceEnding();
+
 private:
   struct attempt
   {
--- a/tests/proxy/test_leaving_instances.cpp
+++ b/tests/proxy/test_leaving_instances.cpp
@@ -11,6 +11,53 @@
   "GET /specs/1 HTTP/1.1\r\nHost: shop.example\r\nRequest: q\r\n"
   "Key: key-1\r\n\r\n";
 
+/// Takes requests and never answers.
+scripted_target::script
+Silent()
+{
+  return [](const http_request&, tcp_stream& aStream, yield_context aYield) {
+    aStream.WaitReadable(ReadBootClock() + 18s, aYield);
+    return false;
+  };
+}
+
+/// A request on a connection of its own, in a task of its own.
+struct pending_call
+{
+  bool mIsAnswered = false;
+  int mStatus = 0; ///< 0: the connection ended without an answer.
+};
+
+std::shared_ptr<pending_call>
+StartCall(edge_fixture& aFixture, std::string aMethod, std::string aPath)
+{
+  auto call = std::make_shared<pending_call>();
+  asio::spawn(
+    aFixture.mContext,
+    [&aFixture, call, method = std::move(aMethod), path = std::move(aPath)](
+      yield_context aYield) {
+      const auto answer = aFixture.Call(method, path, aYield);
+      call->mIsAnswered = answer.has_value();
+      call->mStatus = answer ? answer->mHead.mStatus : 0;
+    },
+    boost::coroutines::attributes(128UL * 1024));
+  return call;
+}
+
+void
+SetGrace(edge_fixture& aFixture, duration aGrace)
+{
+  auto settings = aFixture.mSettings;
+  settings.mGrace = aGrace;
+  aFixture.mInstance->Apply(settings);
+}
+
+duration
+PartOf(duration aGrace, double aPart)
+{
+  return std::chrono::duration_cast<duration>(aGrace * aPart);
+}
+
 } // namespace
 
 TEST_GROUP(leaving_instances){};
@@ -67,3 +114,57 @@
     }
   });
 }
+
+// Guards against requests that end without an answer at the end of a planned
+// stop, and against one that comes too late to be finished and is passed on.
+TEST(leaving_instances, AnswerEveryRequestBeforeTheGraceEnds)
+{
+  for (const duration grace : { duration(6s) }) {
+    edge_fixture fixture;
+    SetGrace(fixture, grace);
+    auto& workshop = fixture.AddTarget("w1", "workshop", Silent());
+    auto& catalogue = fixture.AddTarget("t1", "catalogue", Silent());
+    fixture.Run([&](yield_context aYield) {
+      const auto order = StartCall(fixture, "POST", "/cuts/1");
+      const auto query = StartCall(fixture, "GET", "/specs/1");
+      tcp_stream late(fixture.mContext);
+      const auto connected = late.Connect(
+        fixture.mInstance->CallersAddress(), ReadBootClock() + 5s, aYield);
+      CHECK(connected.has_value());
+      SendText(late,
+               "POST /cuts/2 HTTP/1.1\r\nHost: shop.example\r\n"
+               "Request: late\r\nKey: key-1\r\nContent-Length: 4\r\n\r\nha",
+               aYield);
+      while (workshop.Requests().empty() || catalogue.Requests().empty()) {
+        fixture.Sleep(5ms, aYield);
+      }
+      bool hasLeft = false;
+      bool isWhole = true;
+      fixture.mScheduler.Spawn([&](yield_context aOwnYield) {
+        isWhole = fixture.mInstance->Leave(aOwnYield);
+        hasLeft = true;
+      });
+      SECTION("a request that is whole late is refused and does not run")
+      {
+        fixture.Sleep(PartOf(grace, 0.6), aYield);
+        SendText(late, "lf", aYield);
+        const auto refused = ReadResponse(
+          late, false, body_lease(1'000), ReadBootClock() + 5s, aYield);
+        LONGS_EQUAL(503, refused ? refused->mHead.mStatus : 0);
+        CHECK(refused && refused->mHead.mHeaders.Find("Retry-After"));
+        LONGS_EQUAL(1, workshop.Requests().size());
+      }
+      while (!hasLeft) {
+        fixture.Sleep(5ms, aYield);
+      }
+      SECTION("requests at work have an answer that promises nothing")
+      {
+        CHECK_FALSE(isWhole);
+        LONGS_EQUAL(502, order->mStatus);
+        LONGS_EQUAL(502, query->mStatus);
+        LONGS_EQUAL(1, workshop.Requests().size());
+        LONGS_EQUAL(1, catalogue.Requests().size());
+      }
+    });
+  }
+}
