Edge: the times of a planned stop follow the grace time

What callers saw, or would see with a grace time below 6 s: an instance kept taking requests for 3.2 s after SIGTERM, whatever the grace time. With 2 s it was still waiting for the load balancer when the process was ended by force. With 6 s, a request that came between 3 s and 3.2 s had less time left than the operators count on for a stop, and could be cut.

Cause: 2.6 s, 3.2 s and 0.3 s were fixed, only the end was taken from the grace time.

Change: requests are refused from 3 s on; 2.6 s, 3 s and 0.3 s are bounded by 0.45, 0.5 and 0.05 of the grace time, which leaves them as they are at 6 s.

Evidence: leaving_instances.AnswerEveryRequestBeforeTheGraceEnds, now with 6 s and 2 s and with a request that is whole at 0.52 of the grace time. Before the change it was passed on and ended with 502 instead of 503, with both grace times; it passes now.

--- a/modules/proxy/proxy_instance.cpp
+++ b/modules/proxy/proxy_instance.cpp
@@ -3,6 +3,7 @@
 #include "core/log.h"
 #include "modules/proxy/target_selection.h"
 
+#include <algorithm>
 #include <sstream>
 
 namespace cowslipline {
@@ -14,17 +15,47 @@
 constexpr duration kHousekeepingInterval = 1s;
 
 // The load balancer asks once a second and takes an instance out after two
-// misses; until then new connections still arrive.
+// misses; until then new connections still arrive. Shorter grace times leave
+// this part of them for it.
 constexpr duration kUntilOutOfRotation = 2600ms;
+constexpr double kMostOutOfRotationPart = 0.45;
 
-// Requests that arrive later could not finish within the grace time.
-constexpr duration kUntilRefusing = 3200ms;
+// Requests that are sent later could not finish within the grace time.
+constexpr duration kUntilRefusing = 3000ms;
+constexpr double kMostRefusingPart = 0.5;
 
 // Left of the grace time when the requests in flight are given up.
 constexpr duration kExitMargin = 300ms;
+constexpr double kMostExitPart = 0.05;
 
 // Part of this margin in which their callers take the answers.
-constexpr duration kFinalAnswersTime = 200ms;
+constexpr double kFinalAnswersPart = 0.66;
+
+/// The times of a shutdown, from its start.
+struct shutdown_times
+{
+  duration mOutOfRotation;
+  duration mRefusing;
+  duration mGiveUp; ///< The requests in flight get their final answers.
+  duration mExit;   ///< At the latest.
+};
+
+shutdown_times
+TimesOf(duration aGrace)
+{
+  const auto bounded = [aGrace](duration aUsual, double aMostPart) {
+    return std::min(aUsual,
+                    std::chrono::duration_cast<duration>(aGrace * aMostPart));
+  };
+  const auto margin = bounded(kExitMargin, kMostExitPart);
+  shutdown_times times;
+  times.mOutOfRotation = bounded(kUntilOutOfRotation, kMostOutOfRotationPart);
+  times.mRefusing = bounded(kUntilRefusing, kMostRefusingPart);
+  times.mGiveUp = aGrace - margin;
+  times.mExit = times.mGiveUp + std::chrono::duration_cast<duration>(
+                                  margin * kFinalAnswersPart);
+  return times;
+}
 
 constexpr duration kDrainPoll = 20ms;
 constexpr duration kReadyPoll = 20ms;
@@ -421,25 +452,25 @@
 proxy_instance::Leave(yield_context aYield)
 {
   const auto startedAt = mScheduler.Now();
+  const auto times = TimesOf(mSettings.mGrace);
   mServices.mPhase = lifecycle_phase::Leaving;
   Log(log_level::Info,
       "leaving",
       { { "in_flight", std::to_string(mServices.mRequestsInFlight) } });
-  mScheduler.SleepFor(kUntilOutOfRotation, aYield);
+  mScheduler.SleepFor(times.mOutOfRotation, aYield);
   // The store may be silent; callers' connections do not wait for it.
   mScheduler.Spawn([this](yield_context aOwnYield) {
     mRegistration.Deregister(aOwnYield);
     mIsDeregistered = true;
   });
   mListener.StopAccepting();
-  const auto end = startedAt + mSettings.mGrace - kExitMargin;
-  while (mScheduler.Now() < end) {
+  while (mScheduler.Now() < startedAt + times.mGiveUp) {
     mListener.CloseIdle();
     if (mServices.mRequestsInFlight == 0 && mListener.Connections() == 0 &&
         mIsDeregistered) {
       break;
     }
-    if (mScheduler.Now() - startedAt > kUntilRefusing) {
+    if (mScheduler.Now() - startedAt >= times.mRefusing) {
       mServices.mPhase = lifecycle_phase::Refusing;
     }
     mScheduler.SleepFor(kDrainPoll, aYield);
@@ -448,7 +479,7 @@
   mServices.mPhase = lifecycle_phase::Ending;
   mListener.EndRequests();
   while (mListener.Connections() > 0 &&
-         mScheduler.Now() < end + kFinalAnswersTime) {
+         mScheduler.Now() < startedAt + times.mExit) {
     mScheduler.SleepFor(kDrainPoll, aYield);
     mListener.CloseIdle();
   }
--- a/tests/proxy/test_leaving_instances.cpp
+++ b/tests/proxy/test_leaving_instances.cpp
@@ -119,7 +119,7 @@
 // stop, and against one that comes too late to be finished and is passed on.
 TEST(leaving_instances, AnswerEveryRequestBeforeTheGraceEnds)
 {
-  for (const duration grace : { duration(6s) }) {
+  for (const duration grace : { duration(6s), duration(2s) }) {
     edge_fixture fixture;
     SetGrace(fixture, grace);
     auto& workshop = fixture.AddTarget("w1", "workshop", Silent());
@@ -146,7 +146,7 @@
       });
       SECTION("a request that is whole late is refused and does not run")
       {
-        fixture.Sleep(PartOf(grace, 0.6), aYield);
+        fixture.Sleep(PartOf(grace, 0.52), aYield);
         SendText(late, "lf", aYield);
         const auto refused = ReadResponse(
           late, false, body_lease(1'000), ReadBootClock() + 5s, aYield);
