Edge: a request that must run once is not passed on shortly before the end

What callers saw: in a planned stop, a request that may not be repeated came back from a full target late in the grace time ("not run"), went to a second target and was given up with it at the end: nobody knew whether it had run, although up to then it was certain that it had not.

Cause: the shutdown decided when a request comes, not when it is sent.

Change: once the instance refuses new requests, a request that must run once is passed on only if the latency objective of its route fits before the end. Otherwise it is refused with 503 and Retry-After, which is true.

Evidence: leaving_instances.RefuseWhatTheyCannotPassOnInTime.

--- a/modules/proxy/proxy_instance.cpp
+++ b/modules/proxy/proxy_instance.cpp
@@ -454,6 +454,7 @@
   const auto startedAt = mScheduler.Now();
   const auto times = TimesOf(mSettings.mGrace);
   mServices.mPhase = lifecycle_phase::Leaving;
+  mServices.mGivesUpAt = startedAt + times.mGiveUp;
   Log(log_level::Info,
       "leaving",
       { { "in_flight", std::to_string(mServices.mRequestsInFlight) } });
@@ -464,7 +465,7 @@
     mIsDeregistered = true;
   });
   mListener.StopAccepting();
-  while (mScheduler.Now() < startedAt + times.mGiveUp) {
+  while (mScheduler.Now() < mServices.mGivesUpAt) {
     mListener.CloseIdle();
     if (mServices.mRequestsInFlight == 0 && mListener.Connections() == 0 &&
         mIsDeregistered) {
--- a/modules/proxy/proxy_services.h
+++ b/modules/proxy/proxy_services.h
@@ -42,6 +42,8 @@
   /// Bodies of requests and answers in memory.
   buffer_budget& mBuffers;
   lifecycle_phase mPhase = lifecycle_phase::Serving;
+  /// When a leaving instance gives up what is in flight.
+  steady_time mGivesUpAt = steady_time::max();
   std::size_t mRequestsInFlight = 0;
   /// Shares of routes with several services, by route name.
   std::unordered_map<std::string, weighted_service_picker> mShares{};
--- a/modules/proxy/request_handler.cpp
+++ b/modules/proxy/request_handler.cpp
@@ -304,6 +304,16 @@
          mArrivals < mRoute->mAttempts;
 }
 
+bool
+request_handler::IsTooLateToSend() const
+{
+  const auto left = mServices.mGivesUpAt - mServices.mScheduler.Now();
+  return mServices.mPhase == lifecycle_phase::Ending ||
+         (mServices.mPhase == lifecycle_phase::Refusing &&
+          mRoute->mRepeat == repeat_rule::AtMostOnce &&
+          left < mRoute->mLatencyObjective);
+}
+
 bool
 request_handler::HasOpenAttempt() const
 {
@@ -385,7 +395,7 @@
   if (mIsCallerGone) {
     return refusal_cause::CallerGone;
   }
-  if (mServices.mPhase == lifecycle_phase::Ending) {
+  if (IsTooLateToSend()) {
     return refusal_cause::Leaving;
   }
   const auto now = mServices.mScheduler.Now();
--- a/modules/proxy/request_handler.h
+++ b/modules/proxy/request_handler.h
@@ -67,6 +67,10 @@
   /// 0 is the most urgent.
   int Priority() const;
   bool MayRepeat() const;
+  /// True at the end of a shutdown. A request that must run once is not passed
+  /// on then if its target may still be at work when the instance ends: nobody
+  /// would know whether it ran.
+  bool IsTooLateToSend() const;
   bool HasOpenAttempt() const;
   void MarkOverdue();
   /// When a second send is due while the first is open: as a hedge, or as a
--- a/tests/proxy/test_leaving_instances.cpp
+++ b/tests/proxy/test_leaving_instances.cpp
@@ -26,6 +26,7 @@
 {
   bool mIsAnswered = false;
   int mStatus = 0; ///< 0: the connection ended without an answer.
+  bool mHasReturnTime = false;
 };
 
 std::shared_ptr<pending_call>
@@ -39,6 +40,8 @@
       const auto answer = aFixture.Call(method, path, aYield);
       call->mIsAnswered = answer.has_value();
       call->mStatus = answer ? answer->mHead.mStatus : 0;
+      call->mHasReturnTime =
+        answer && answer->mHead.mHeaders.Find("Retry-After").has_value();
     },
     boost::coroutines::attributes(128UL * 1024));
   return call;
@@ -168,3 +171,55 @@
     });
   }
 }
+
+// Guards against a request that must run once and is passed on again so late
+// that the instance ends before its target: nobody would know whether it ran.
+TEST(leaving_instances, RefuseWhatTheyCannotPassOnInTime)
+{
+  constexpr duration kGrace = 2s;
+  edge_fixture fixture;
+  SetGrace(fixture, kGrace);
+  auto configuration = fixture.Configuration(5);
+  for (auto& route : configuration.mRoutes) {
+    route.mLatencyObjective = 1s;
+  }
+  fixture.mFeed.Publish(configuration);
+  bool mayShed = false;
+  auto& full = fixture.AddTarget(
+    "w1",
+    "workshop",
+    [&](
+      const http_request& aRequest, tcp_stream& aStream, yield_context aYield) {
+      while (!mayShed) {
+        fixture.Sleep(5ms, aYield);
+      }
+      return SendText(
+        aStream,
+        "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nRequest: " +
+          std::string(aRequest.mHead.mHeaders.Find("Request").value_or("")) +
+          "\r\nContent-Length: 0\r\n\r\n",
+        aYield);
+    });
+  const auto order = StartCall(fixture, "POST", "/cuts/1");
+  fixture.Run([&](yield_context aYield) {
+    while (full.Requests().empty()) {
+      fixture.Sleep(5ms, aYield);
+    }
+  });
+  auto& other = fixture.AddTarget("w2", "workshop", Silent());
+  fixture.Run([&](yield_context aYield) {
+    bool hasLeft = false;
+    fixture.mScheduler.Spawn([&](yield_context aOwnYield) {
+      fixture.mInstance->Leave(aOwnYield);
+      hasLeft = true;
+    });
+    fixture.Sleep(PartOf(kGrace, 0.7), aYield);
+    mayShed = true;
+    while (!hasLeft) {
+      fixture.Sleep(5ms, aYield);
+    }
+    LONGS_EQUAL(503, order->mStatus);
+    CHECK(order->mHasReturnTime);
+    LONGS_EQUAL(0, other.Requests().size());
+  });
+}
