KNOWN-RED: cowsliplined ends requests without an answer at the end of its drain time

The first data plane has the same fault: after the drain time it shuts the callers' connections down while their upstreams are at work. The outcome of an order stays recorded as unknown, so no promise is broken.

--- a/tests/gateway/test_caller_server.cpp
+++ b/tests/gateway/test_caller_server.cpp
@@ -319,6 +319,25 @@
   isHeld = false;
 }
 
+// Guards against a request that a planned stop ends without an answer while its
+// upstream is at work.
+TEST(caller_server, AnswersWhatIsLeftAfterTheGrace)
+{
+  std::atomic<bool> isHeld{ true };
+  scripted_upstream upstream([&](const http_message&, test_socket&) {
+    WaitUntil([&] { return !isHeld; });
+    return false;
+  });
+  gateway_fixture fixture({ upstream.Port() });
+  auto busy = fixture.Connect();
+  busy.Send(
+    gateway_fixture::Request("POST", "/order", "x", "Idempotency-Key: k1\r\n"));
+  CHECK(WaitUntil([&] { return upstream.Seen().size() == 1; }));
+  CHECK(!fixture.mGateway->StopGracefully(std::chrono::milliseconds(50)));
+  LONGS_EQUAL(502, busy.Receive().Status());
+  isHeld = false;
+}
+
 // Guards against a hidden path to a guarded route: the gateway and an upstream
 // must read a path alike (P2).
 TEST(caller_server, RefusesDoubtfulPaths)
