--- a/tests/core/test_tcp_stream.cpp
+++ b/tests/core/test_tcp_stream.cpp
@@ -1,6 +1,7 @@
 #include "core/scheduler.h"
 #include "core/tcp_stream.h"
 #include "tests/fakes/kept_context.h"
+#include "tests/fakes/run_task.h"
 #include "tests/story.h"
 
 using namespace cowslipline;
@@ -15,17 +16,7 @@
 {
   void Run(const std::function<void(yield_context)>& aTask)
   {
-    bool isDone = false;
-    mScheduler.Spawn([&](yield_context aYield) {
-      aTask(aYield);
-      isDone = true;
-    });
-    const auto end = ReadBootClock() + 20s;
-    mContext.restart();
-    while (!isDone && ReadBootClock() < end) {
-      mContext.run_one_for(100ms);
-    }
-    CHECK(isDone);
+    cowslipline::testing::RunTask(mContext, aTask);
   }
 
   /// Connects the stream and returns the other side.
--- a/tests/platform/test_broken_replies.cpp
+++ b/tests/platform/test_broken_replies.cpp
@@ -4,6 +4,7 @@
 #include "platform/http_key_value_store.h"
 #include "platform/store_feed.h"
 #include "tests/fakes/kept_context.h"
+#include "tests/fakes/run_task.h"
 #include "tests/story.h"
 
 #include <functional>
@@ -80,24 +81,18 @@
   tcp_listener mListener;
 };
 
+struct broken_reply
+{
+  const char* mName;
+  std::string mReply;
+  ending mEnding = ending::Close;
+};
+
 struct reply_fixture
 {
   void Run(const std::function<void(yield_context)>& aTask)
   {
-    bool isDone = false;
-    asio::spawn(
-      mContext,
-      [&](yield_context aYield) {
-        aTask(aYield);
-        isDone = true;
-      },
-      boost::coroutines::attributes(256UL * 1024));
-    const auto end = ReadBootClock() + 20s;
-    mContext.restart();
-    while (!isDone && ReadBootClock() < end) {
-      mContext.run_one_for(100ms);
-    }
-    CHECK(isDone);
+    cowslipline::testing::RunTask(mContext, aTask);
   }
 
   asio::io_context& mContext = cowslipline::testing::KeptContext();
@@ -123,13 +118,7 @@
 // outside the protocol, and that an instance then takes for the stored one.
 TEST(broken_replies, AreNoValues)
 {
-  struct broken
-  {
-    const char* mName;
-    std::string mReply;
-    ending mEnding = ending::Close;
-  };
-  const std::vector<broken> cases = {
+  const std::vector<broken_reply> cases = {
     { "cut in the body",
       "HTTP/1.1 200 OK\r\nVersion: 5\r\nContent-Length: 9\r\n\r\nhalf" },
     { "reset without a length",
@@ -173,6 +162,14 @@
         fixture.mStore.CompareAndSwap("key", 4, "value", aYield);
       CHECK(written && *written == 5);
     }
+    SECTION("also of a store that is given by its name")
+    {
+      auto settings = fixture.mServer.Settings();
+      settings.mHost = "localhost";
+      http_key_value_store named(fixture.mScheduler, settings);
+      const auto read = named.Read("key", aYield);
+      CHECK(read && *read && (*read)->mValue == "body");
+    }
   });
 }
 
@@ -184,13 +181,7 @@
   const std::string length =
     "Content-Length: " + std::to_string(state.size()) + "\r\n\r\n" + state;
   const std::string ok = "HTTP/1.1 200 OK\r\n";
-  struct broken
-  {
-    const char* mName;
-    std::string mReply;
-    ending mEnding = ending::Close;
-  };
-  const std::vector<broken> cases = {
+  const std::vector<broken_reply> cases = {
     { "reset without a length", ok + "\r\n" + state, ending::Reset },
     { "cut in the body", ok + length.substr(0, length.size() - 1) },
     { "status 000", "HTTP/1.1 000 OK\r\n" + length },
--- a/tests/platform/test_store_feed.cpp
+++ b/tests/platform/test_store_feed.cpp
@@ -2,6 +2,7 @@
 #include "platform/entry_codec.h"
 #include "platform/store_feed.h"
 #include "tests/fakes/kept_context.h"
+#include "tests/fakes/run_task.h"
 #include "tests/story.h"
 
 #include <functional>
@@ -115,19 +116,7 @@
 {
   void Run(const std::function<void(yield_context)>& aTask)
   {
-    bool isDone = false;
-    asio::spawn(
-      mContext,
-      [&](yield_context aYield) {
-        aTask(aYield);
-        isDone = true;
-      },
-      boost::coroutines::attributes(128UL * 1024));
-    const auto end = ReadBootClock() + 20s;
-    while (!isDone && ReadBootClock() < end) {
-      mContext.run_one_for(100ms);
-    }
-    CHECK(isDone);
+    cowslipline::testing::RunTask(mContext, aTask);
   }
 
   asio::io_context& mContext = cowslipline::testing::KeptContext();
--- a/tests/proxy/edge_fixture.cpp
+++ b/tests/proxy/edge_fixture.cpp
@@ -1,6 +1,7 @@
 #include "tests/proxy/edge_fixture.h"
 
 #include "core/hash.h"
+#include "tests/fakes/run_task.h"
 #include "tests/story.h"
 
 namespace cowslipline::testing {
@@ -216,20 +217,7 @@
 void
 edge_fixture::Run(const std::function<void(yield_context)>& aTask)
 {
-  bool isDone = false;
-  asio::spawn(
-    mContext,
-    [&](yield_context aYield) {
-      aTask(aYield);
-      isDone = true;
-    },
-    boost::coroutines::attributes(kStack));
-  const auto end = Soon();
-  mContext.restart();
-  while (!isDone && ReadBootClock() < end) {
-    mContext.run_one_for(100ms);
-  }
-  CHECK(isDone);
+  RunTask(mContext, aTask);
 }
 
 void
