--- a/core/tcp_stream.cpp
+++ b/core/tcp_stream.cpp
@@ -136,12 +136,12 @@
 }
 
 void
-tcp_stream::StartWriting(std::vector<asio::const_buffer> aBuffers,
+tcp_stream::StartWriting(const std::vector<asio::const_buffer>& aBuffers,
                          std::shared_ptr<const void> aOwner)
 {
   mIsWriting = true;
   asio::async_write(mSocket,
-                    std::move(aBuffers),
+                    aBuffers,
                     [this, alive = mIsAlive, owner = std::move(aOwner)](
                       const asio::error_code& aError, std::size_t aBytes) {
                       if (!*alive) {
--- a/core/tcp_stream.h
+++ b/core/tcp_stream.h
@@ -43,7 +43,7 @@
   /// Starts to write the buffers while the task goes on, without a deadline of
   /// its own. aOwner keeps their memory until the write has ended. One write at
   /// a time.
-  void StartWriting(std::vector<asio::const_buffer> aBuffers,
+  void StartWriting(const std::vector<asio::const_buffer>& aBuffers,
                     std::shared_ptr<const void> aOwner);
   /// False while a started write goes on, and after it has failed.
   bool HasWrittenAll() const { return !mIsWriting && !mWriteError; }
