--- a/modules/sync/platform_feed.h
+++ b/modules/sync/platform_feed.h
@@ -105,7 +105,8 @@
 struct platform_changes
 {
   std::vector<platform_event> mEvents;
-  /// Where the store is after these events; the next watch starts after it.
+  /// Where the store is after these events; the next watch starts after it. A
+  /// full read may hold single later events, which the watch reports again.
   store_position mPosition;
   /// The events in the store's encoding, to be forwarded to other instances and
   /// decoded with Decode().
--- a/tests/platform/test_store_feed.cpp
+++ b/tests/platform/test_store_feed.cpp
@@ -171,6 +171,38 @@
   }
 }
 
+// Guards against changes that no watch reports: a read that may be old can have
+// a later page that is older than the first one.
+TEST(store_feed, TheWatchStartsAtTheOldestPage)
+{
+  std::vector<int> revisions;
+  feed_fixture fixture;
+  fixture.mStore.mHandler = [&](const std::string&) {
+    const auto page = fixture.mStore.mCalls.size();
+    return HttpReply(
+      200,
+      R"({"items":[)" +
+        StoreItem("servers/i-" + std::to_string(page), kTargetJson) +
+        R"(],"truncated":)" + (page < revisions.size() ? "true" : "false") +
+        R"(,"as-of":)" + std::to_string(revisions[page - 1]) + '}');
+  };
+  const std::vector<std::vector<int>> reads = {
+    { 99, 60 }, { 99, 60, 80 }, { 80, 99, 60 }, { 60, 99, 80 }, { 60 }
+  };
+  for (const auto state : { read_state::MayBeOld, read_state::Latest }) {
+    for (const auto& read : reads) {
+      revisions = read;
+      fixture.mStore.mCalls.clear();
+      fixture.Run([&](yield_context aYield) {
+        const auto all = fixture.mFeed.ReadAll(state, aYield);
+        CHECK(all.has_value());
+        LONGS_EQUAL(60, all->mPosition.mRevision);
+        LONGS_EQUAL(read.size(), all->mEvents.size());
+      });
+    }
+  }
+}
+
 // Guards against an evacuation that is not read because of its value, that is
 // not passed on to followers, or a key that names no zone and evacuates one.
 TEST(store_feed, ReadsEvacuationsByTheirKeys)
