Edge: a target that says in its answers that it drains gets no more requests

Callers saw: while the store did not answer one instance, orders went on to a target whose answers said that it was leaving.

Cause: nothing read the header. Whether a target drains was known from its entry in the store alone.

Evidence: the log of the instance has store_lost, sent lines for the target, target_went_down when it has exited, and only then store_regained and target_changed.

Change: an exchange reads the header in each answer of its target, and the directory of targets keeps it for this run of the target, whatever entry of the run is read later. All choices take the targets from there. Another run under the id ends it. The log line target_draining and a counter show it.

--- a/modules/explain/request_analyser.cpp
+++ b/modules/explain/request_analyser.cpp
@@ -28,10 +28,9 @@
 IsLongLivedState(std::string_view aEvent)
 {
   static const std::set<std::string_view> events = {
-    "started",        "leaving",
-    "store_lost",     "store_regained",
-    "target_avoided", "target_in_use",
-    "target_removed", "configuration_in_force",
+    "started",        "leaving",         "store_lost",
+    "store_regained", "target_avoided",  "target_in_use",
+    "target_removed", "target_draining", "configuration_in_force",
   };
   return events.count(aEvent) != 0;
 }
--- a/modules/proxy/proxy_instance.cpp
+++ b/modules/proxy/proxy_instance.cpp
@@ -353,6 +353,7 @@
     mScheduler.SleepFor(kHousekeepingInterval, aYield);
     const auto now = mScheduler.Now();
     mPool.CloseExpired(now);
+    mView.mTargets.Prune(now);
     mEvidence.Prune(now);
     mChooser.Prune(now);
     mSlots->Prune();
--- a/modules/proxy/request_handler.cpp
+++ b/modules/proxy/request_handler.cpp
@@ -48,6 +48,20 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
 }
 
+/// The target has said in an answer that it drains.
+void
+OnTargetDraining(proxy_services& aServices, const target_entry& aTarget)
+{
+  const auto now = aServices.mScheduler.Now();
+  if (!aServices.mView.mTargets.MarkDraining(aTarget, now)) {
+    return;
+  }
+  aServices.mMetrics.Counter("cowslipline_targets_draining_total").Add();
+  Log(log_level::Info,
+      "target_draining",
+      { { "target", aTarget.mId }, { "service", aTarget.mService } });
+}
+
 } // namespace
 
 request_handler::request_handler(proxy_services& aServices,
@@ -443,14 +457,15 @@
      started,
      isLent,
      progress = mProgress,
-     startedAtMs = target.mStartedAtMs,
-     zone = target.mAvailabilityZone,
+     target,
      fingerprint = mFingerprint,
      deadline = mDeadline](yield_context aYield) {
       auto finished = started->mExchange->Run(deadline, aYield);
       services.mChooser.EndRequest(started->mTarget, isLent);
-      if (services.mView.mEvacuations.OnFinished(zone)) {
-        Log(log_level::Info, "evacuated_zone_empty", { { "zone", zone } });
+      if (services.mView.mEvacuations.OnFinished(target.mAvailabilityZone)) {
+        Log(log_level::Info,
+            "evacuated_zone_empty",
+            { { "zone", target.mAvailabilityZone } });
       }
       --services.mRequestsInFlight;
       if (finished.mIsNewConnection) {
@@ -472,9 +487,13 @@
       } else if (finished.mOutcome == exchange_outcome::Served) {
         services.mReports.OnServed(fingerprint);
       }
-      services.mReports.OnLimitSignal({ started->mTarget, startedAtMs },
+      services.mReports.OnLimitSignal({ target.mId, target.mStartedAtMs },
                                       finished.mLimit,
                                       started->mStartedAt);
+      // Before the answer is passed on: the caller's next request comes after.
+      if (finished.mIsTargetDraining) {
+        OnTargetDraining(services, target);
+      }
       const auto outcome = finished.mOutcome;
       started->mResult = std::move(finished);
       progress->mChanged.Set();
--- a/modules/proxy/target_exchange.cpp
+++ b/modules/proxy/target_exchange.cpp
@@ -1,5 +1,6 @@
 #include "modules/proxy/target_exchange.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -69,6 +70,17 @@
   return ReadLimitSignal(values);
 }
 
+/// Values that differ say nothing, as does any other value.
+bool
+SaysDraining(const header_list& aHeaders, std::string_view aName)
+{
+  const auto values = aHeaders.Tokens(aName);
+  return !values.empty() &&
+         std::all_of(values.begin(), values.end(), [](std::string_view aValue) {
+           return aValue == "1";
+         });
+}
+
 } // namespace
 
 target_exchange::target_exchange(
@@ -120,9 +132,10 @@
     return Fail(exchange_outcome::Unreachable, false, "nothing_sent");
   }
   auto finished = ReadAnswer(aDeadline, aYield);
-  // Another target has the address, and its limit is not that of this one.
+  // Another target has the address, and what it says is not of this one.
   if (finished.mOutcome != exchange_outcome::Misdirected) {
     finished.mLimit = mLimit;
+    finished.mIsTargetDraining = mIsTargetDraining;
   }
   // A refusal or failure need not come from where the limit is set.
   finished.mLimit.mIsClear =
@@ -221,6 +234,8 @@
     if (id) {
       mLimit = LimitOf(response->mHead.mHeaders, mNames.mRateLimit);
     }
+    mIsTargetDraining =
+      SaysDraining(response->mHead.mHeaders, mNames.mDraining);
     return Judge(std::move(*response));
   }
 }
@@ -273,8 +288,8 @@
 target_exchange::KeepConnection(const http_response& aResponse)
 {
   const bool isReusable = aResponse.mIsConnectionReusable &&
-                          mStream->HasWrittenAll() && mForeignAnswers == 0 &&
-                          mStream->IsQuiet();
+                          !mIsTargetDraining && mStream->HasWrittenAll() &&
+                          mForeignAnswers == 0 && mStream->IsQuiet();
   if (isReusable) {
     mPool.Put(mTargetId,
               std::move(mStream),
--- a/modules/proxy/target_exchange.h
+++ b/modules/proxy/target_exchange.h
@@ -31,6 +31,8 @@
   std::string mReason;
   /// What the target's own answer says of its rate limit.
   limit_signal mLimit;
+  /// The target's own answer says that it drains.
+  bool mIsTargetDraining = false;
   /// A new connection is refused after the old one broke: the target went down.
   bool mIsTargetDown = false;
 };
@@ -85,6 +87,7 @@
   /// Answers to other requests that came in front.
   int mForeignAnswers = 0;
   limit_signal mLimit;
+  bool mIsTargetDraining = false;
 };
 
 } // namespace cowslipline
--- a/modules/routing/fleet_header_names.h
+++ b/modules/routing/fleet_header_names.h
@@ -17,6 +17,8 @@
   std::string mSignature; ///< Response: proves that the target succeeded.
   /// Response: requests/s that the target accepts from the whole fleet.
   std::string mRateLimit;
+  /// Response, value 1: the target drains, it will exit soon.
+  std::string mDraining;
 };
 
 } // namespace cowslipline
--- a/modules/routing/target_directory.cpp
+++ b/modules/routing/target_directory.cpp
@@ -5,6 +5,16 @@
 
 namespace cowslipline {
 
+namespace {
+
+using namespace std::chrono_literals;
+
+// The entry of a run that has ended may be listed again for a while, by a store
+// that is back after an outage or from a copy.
+constexpr duration kDrainingMemory = 60s;
+
+} // namespace
+
 bool
 IsOlder(const target_entry& aLeft, const target_entry& aRight)
 {
@@ -34,6 +44,9 @@
 target_directory::Put(target_entry aEntry)
 {
   Remove(aEntry.mId);
+  if (mDraining.count(RunOf(aEntry)) > 0) {
+    aEntry.mPhase = target_phase::Draining;
+  }
   auto id = aEntry.mId;
   const auto inserted =
     mEntries.emplace(std::move(id), std::move(aEntry)).first;
@@ -56,6 +69,33 @@
   mEntries.erase(found);
 }
 
+bool
+target_directory::MarkDraining(const target_entry& aTarget, steady_time aNow)
+{
+  const auto run = RunOf(aTarget);
+  if (!mDraining.try_emplace(run, aNow).second) {
+    return false;
+  }
+  const auto listed = mEntries.find(aTarget.mId);
+  if (listed != mEntries.end() && RunOf(listed->second) == run) {
+    listed->second.mPhase = target_phase::Draining;
+  }
+  return true;
+}
+
+void
+target_directory::Prune(steady_time aNow)
+{
+  for (auto run = mDraining.begin(); run != mDraining.end();) {
+    const auto* listed = Find(run->first.first);
+    if (listed != nullptr && RunOf(*listed) == run->first) {
+      run->second = aNow;
+    }
+    const bool isOver = aNow - run->second > kDrainingMemory;
+    run = isOver ? mDraining.erase(run) : std::next(run);
+  }
+}
+
 const target_entry*
 target_directory::Find(std::string_view aId) const
 {
--- a/modules/routing/target_directory.h
+++ b/modules/routing/target_directory.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 namespace cowslipline {
 
@@ -54,6 +55,13 @@
   void Put(target_entry aEntry);
   void Remove(std::string_view aId);
 
+  /// The target has said in an answer that this run of it drains. It counts as
+  /// draining from now on, whatever entry of the run is put: an entry may be
+  /// older than the answer. False if it counted so already.
+  bool MarkDraining(const target_entry& aTarget, steady_time aNow);
+  /// Forgets what runs have said that have not been listed for a minute.
+  void Prune(steady_time aNow);
+
   const target_entry* Find(std::string_view aId) const;
   /// Ready targets of a service, in the order of their ids.
   std::vector<const target_entry*> Ready(std::string_view aService) const;
@@ -63,7 +71,18 @@
   }
 
 private:
+  /// A run of a target: its id and start.
+  using run_key = std::pair<std::string, std::int64_t>;
+
+  static run_key RunOf(const target_entry& aEntry)
+  {
+    return { aEntry.mId, aEntry.mStartedAtMs };
+  }
+
   std::map<std::string, target_entry, std::less<>> mEntries;
+  /// Runs that have said that they drain, with the time at which they were last
+  /// known to be listed.
+  std::map<run_key, steady_time> mDraining;
   std::unordered_map<std::string,
                      std::map<std::string, const target_entry*, std::less<>>>
     mByService;
--- a/tests/proxy/edge_fixture.cpp
+++ b/tests/proxy/edge_fixture.cpp
@@ -38,6 +38,7 @@
   names.mNotRun = "Not-Run";
   names.mSignature = "Signature";
   names.mRateLimit = "Rate-Limit";
+  names.mDraining = "Draining";
   return names;
 }
 
