--- a/tests/proxy/edge_fixture.cpp
+++ b/tests/proxy/edge_fixture.cpp
@@ -227,6 +227,27 @@
   mScheduler.SleepFor(aTime, aYield);
 }
 
+void
+edge_fixture::Pause(duration aTime)
+{
+  Run([&](yield_context aYield) { Sleep(aTime, aYield); });
+}
+
+std::map<int, int>
+edge_fixture::CountStatuses(int aRequests,
+                            const std::string& aPath,
+                            const std::string& aHeaders)
+{
+  std::map<int, int> statuses;
+  Run([&](yield_context aYield) {
+    for (int i = 0; i < aRequests; ++i) {
+      const auto answer = Call("GET", aPath, aYield, aHeaders);
+      ++statuses[answer ? answer->mHead.mStatus : 0];
+    }
+  });
+  return statuses;
+}
+
 proxy_instance&
 edge_fixture::AddInstance(const std::string& aName)
 {
--- a/tests/proxy/edge_fixture.h
+++ b/tests/proxy/edge_fixture.h
@@ -5,6 +5,7 @@
 #include "tests/fakes/memory_platform_feed.h"
 
 #include <functional>
+#include <map>
 
 namespace cowslipline::testing {
 
@@ -69,6 +70,8 @@
   /// Runs the function as a task until it returns; fails the test after 20 s.
   void Run(const std::function<void(yield_context)>& aTask);
   void Sleep(duration aTime, yield_context aYield);
+  /// Lets the instances and targets run for this time.
+  void Pause(duration aTime);
 
   /// A request on a connection of its own.
   result<http_response> Call(const std::string& aMethod,
@@ -84,6 +87,13 @@
                                const std::string& aHeaders = "Key: key-1\r\n",
                                const std::string& aBody = {});
 
+  /// Statuses of this many GET requests, one after the other, each status with
+  /// its count; 0 stands for no answer.
+  std::map<int, int> CountStatuses(
+    int aRequests,
+    const std::string& aPath,
+    const std::string& aHeaders = "Key: key-1\r\n");
+
   fleet_configuration Configuration(std::uint64_t aVersion) const;
 
   asio::io_context& mContext = KeptContext();
