--- a/review/standins-3/lapsed_registrations.cpp
+++ b/review/standins-3/lapsed_registrations.cpp
@@ -60,6 +60,7 @@
   constexpr int kCallers = 12;
   constexpr double kInterval = 0.2;
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int caller = 0; caller < kCallers; ++caller) {
     callers.emplace_back([&, caller] {
       auto opened = connection::Open(aEdge.Ip(), edge::kFront);
@@ -102,8 +103,10 @@
   record log(options.mFolder + "/record.txt");
   store platform(log);
   platform.Put("op/config", Configuration());
+  constexpr int kTargets = 3;
   std::vector<std::unique_ptr<target>> targets;
-  for (int i = 0; i < 3; ++i) {
+  targets.reserve(kTargets);
+  for (int i = 0; i < kTargets; ++i) {
     targets.push_back(std::make_unique<target>(
       platform, target::settings{ "i-" + std::to_string(i), "quotes" }));
   }
--- a/review/standins-3/slow_reader.cpp
+++ b/review/standins-3/slow_reader.cpp
@@ -114,8 +114,10 @@
   record log(options.mFolder + "/record.txt");
   store platform(log);
   platform.Put("op/config", Configuration());
+  constexpr int kTargets = 3;
   std::vector<std::unique_ptr<target>> targets;
-  for (int i = 0; i < 3; ++i) {
+  targets.reserve(kTargets);
+  for (int i = 0; i < kTargets; ++i) {
     targets.push_back(std::make_unique<target>(
       platform,
       target::settings{
@@ -138,6 +140,7 @@
   std::mutex mutex;
   std::vector<std::string> unanswered;
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int caller = 0; caller < kCallers; ++caller) {
     callers.emplace_back([&, caller] {
       const auto ids = Call(one, caller, options.mIsTrouble, log);
