--- a/review/standins-3/withdrawn_key.cpp
+++ b/review/standins-3/withdrawn_key.cpp
@@ -1,5 +1,6 @@
-// The store turns one instance away while a key is withdrawn. Afterwards a
-// caller still sends the key, on a public route and on one that needs a key.
+// The store turns one instance away while a key goes from one tenant to
+// another. Afterwards a caller sends the key, on a public route and on one that
+// needs a key.
 
 #include "fleet.h"
 
@@ -9,7 +10,9 @@
 
 constexpr double kTurnedAway = 9;
 constexpr double kRevokeBound = 5;
-constexpr char kKey[] = "key-of-acme";
+constexpr char kKey[] = "key-1";
+constexpr char kFormer[] = "acme";
+constexpr char kHolder[] = "globex";
 
 json
 Route(const std::string& aName, bool aIsPublic)
@@ -27,8 +30,22 @@
 }
 
 json
-Configuration(int aVersion, const std::vector<std::string>& aKeys)
+Tenant(const std::string& aName, const std::vector<std::string>& aKeys)
 {
+  return { { "name", aName },
+           { "api-keys", aKeys },
+           { "priority", 1 },
+           { "rate-per-s", 0 },
+           { "burst", 0 } };
+}
+
+/// The key belongs to the tenant aHolder.
+json
+Configuration(int aVersion, const std::string& aHolder)
+{
+  std::vector<std::string> former = { "key-of-acme" };
+  std::vector<std::string> later = { "key-of-globex" };
+  (aHolder == kFormer ? former : later).emplace_back(kKey);
   return { { "version", aVersion },
            { "routes", { Route("open", true), Route("closed", false) } },
            { "services",
@@ -40,12 +57,7 @@
                { "max-body-bytes", 67108864 },
                { "header-timeout-s", 3 },
                { "idle-timeout-s", 15 } } },
-           { "tenants",
-             { { { "name", "acme" },
-                 { "api-keys", aKeys },
-                 { "priority", 1 },
-                 { "rate-per-s", 0 },
-                 { "burst", 0 } } } } };
+           { "tenants", { Tenant(kFormer, former), Tenant(kHolder, later) } } };
 }
 
 /// Status of the answer; 0 without one.
@@ -79,7 +91,7 @@
   const auto options = OptionsOf(aCount, aArguments);
   record log(options.mFolder + "/record.txt");
   store platform(log);
-  platform.Put("op/config", Configuration(7, { kKey, "key-2" }));
+  platform.Put("op/config", Configuration(7, kFormer));
   target status(platform, { "i-1", "status" });
   edge one(options.mTemporary, "edge-1", LoopbackIp(1), platform.Port());
   one.Start();
@@ -99,9 +111,10 @@
   }
   const double turnedAwayAt = Now();
   SleepSeconds(1);
-  platform.Put("op/config", Configuration(8, { "key-2" }));
+  platform.Put("op/config", Configuration(8, kHolder));
   const double withdrawnAt = Now();
-  log.Line("store: version 8, in which no tenant has " + std::string(kKey));
+  log.Line("store: version 8, in which " + std::string(kKey) +
+           " is a key of globex and no longer of acme");
   SleepSeconds(kRevokeBound + 0.5);
   int sent = 0;
   while (Now() < turnedAwayAt + kTurnedAway) {
@@ -116,11 +129,12 @@
   for (const auto& ran : status.Runs()) {
     log.Line("target: ran " + ran.mId + ", Tenant '" + ran.mTenant + "'");
     const bool isLate = ran.mAt > withdrawnAt + kRevokeBound;
-    wrong += isLate && !ran.mTenant.empty() ? 1 : 0;
+    const bool isForeign = !ran.mTenant.empty() && ran.mTenant != kHolder;
+    wrong += isLate && isForeign ? 1 : 0;
   }
   Finish(log,
          wrong > 0 ? 1 : 0,
-         std::to_string(wrong) +
-           " requests ran for a tenant that has not held their key for over " +
+         std::to_string(wrong) + " requests of globex ran as requests of " +
+           kFormer + ", which has not held their key for over " +
            std::to_string(static_cast<int>(kRevokeBound)) + " s");
 }
