--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 11 to 15 into target/review-3. The daemon is
+# Builds the stand-ins of the cases 11 to 14 into target/review-3. The daemon is
 # built by the command of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
--- a/review/standins-3/fleet.h
+++ b/review/standins-3/fleet.h
@@ -118,6 +118,9 @@
 Listen()
 {
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  // A target that starts again takes its address again.
+  const int one = 1;
+  ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
   auto address = AddressOf("127.0.0.1", 0);
   socklen_t size = sizeof(address);
   if (::bind(fd, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
@@ -314,12 +317,25 @@
   explicit store(record& aRecord)
     : mRecord(aRecord)
   {
-    mPort = Serve([this](connection& aServed) { Run(aServed); });
+    mPort = AddPort("");
     std::thread([this] { EndLeases(); }).detach();
   }
 
   int Port() const { return mPort; }
 
+  /// Another port, whose callers can be turned away apart from the others.
+  int AddPort(const std::string& aCaller)
+  {
+    return Serve(
+      [this, aCaller](connection& aServed) { Run(aServed, aCaller); });
+  }
+
+  void TurnAway(const std::string& aCaller, bool aIsTurnedAway)
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mIsTurnedAway[aCaller] = aIsTurnedAway;
+  }
+
   void SetFate(fate_function aFate)
   {
     const std::lock_guard<std::mutex> lock(mMutex);
@@ -443,7 +459,7 @@
     return "";
   }
 
-  void Run(connection& aServed)
+  void Run(connection& aServed, const std::string& aCaller)
   {
     while (auto read = aServed.Read(3600)) {
       SleepSeconds(0.004);
@@ -457,7 +473,9 @@
       auto fate = call_fate::Answered;
       {
         const std::lock_guard<std::mutex> lock(mMutex);
-        fate = mFate ? mFate(call, body) : fate;
+        fate = mIsTurnedAway[aCaller] ? call_fate::Refused
+               : mFate                ? mFate(call, body)
+                                      : fate;
       }
       if (fate == call_fate::Refused) {
         aServed.Send(Answer(503, ""));
@@ -606,6 +624,7 @@
   std::mutex mMutex;
   std::condition_variable mChanged;
   fate_function mFate;
+  std::map<std::string, bool> mIsTurnedAway;
   std::uint64_t mRevision = 1;
   std::uint64_t mOldest = 0;
   std::uint64_t mLastLease = 77'000;
