--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Large configurations come while the store turns an instance away.
+# A request that crashes targets comes again on a split route.
 # Usage: [TROUBLE=0] review/14/run.sh, after the build of the deploy file and
 # review/build-3.sh.
-exec "$(dirname "$0")/../standins-3/run_case.sh" 14 missed_versions
+exec "$(dirname "$0")/../standins-3/run_case.sh" 14 crashing_request
