--- a/review/standins-3/fleet.h
+++ b/review/standins-3/fleet.h
@@ -878,12 +878,13 @@
   }
 
   const std::string& Ip() const { return mIp; }
+  pid_t Pid() const { return mPid; }
 
 private:
   std::string mIp;
   std::string mPath;
   std::string mLog;
-  pid_t mPid = 0;
+  std::atomic<pid_t> mPid{ 0 };
 };
 
 /// Loopback addresses of this run, apart from those of others.
