--- a/review/standins-3/abandoned_orders.cpp
+++ b/review/standins-3/abandoned_orders.cpp
@@ -26,7 +26,7 @@
 constexpr double kReadWork = 0.6;
 constexpr double kReadPause = 2.4;
 
-constexpr long kMemoryKibibytes = 260 * 1024;
+constexpr long kMemoryKibibytes = 260L * 1024;
 constexpr double kRestartDelay = 1;
 
 // LOST: more than three times.
@@ -366,11 +366,13 @@
   store platform(log);
   platform.Put("op/config", Configuration());
   std::vector<std::unique_ptr<order_target>> workshop;
+  workshop.reserve(kOrderTargets);
   for (int i = 0; i < kOrderTargets; ++i) {
     workshop.push_back(std::make_unique<order_target>(
       platform, "workshop-" + std::to_string(i)));
   }
   std::vector<std::unique_ptr<target>> ledger;
+  ledger.reserve(kReadTargets);
   for (int i = 0; i < kReadTargets; ++i) {
     ledger.push_back(std::make_unique<target>(
       platform,
@@ -388,6 +390,7 @@
   std::atomic<bool> isOver{ false };
   read_log reads;
   std::vector<std::thread> callers;
+  callers.reserve(kReaders + kOrders);
   for (int i = 0; i < kReaders; ++i) {
     callers.emplace_back([&, i] { ReadStatuses(one, i, isOver, reads); });
   }
