--- a/modules/proxy/request_handler.cpp
+++ b/modules/proxy/request_handler.cpp
@@ -174,26 +174,31 @@
   if (mRequestId.empty()) {
     return Refuse(400, refusal_cause::Malformed);
   }
-  const bool isGuarded =
-    !mRoute->mIsPublic && !mRoutes->Configuration().mOrganisations.empty();
   const auto keys = headers.Count(mServices.mNames.mKey);
-  if (keys == 1) {
-    mOrganisation =
-      mRoutes->FindOrganisation(*headers.Find(mServices.mNames.mKey));
-  }
-  if (!isGuarded) {
-    return std::nullopt;
-  }
-  if (!isFresh) {
-    return Refuse(503, refusal_cause::ConfigurationStale, kUsualReturn);
-  }
-  if (keys != 1) {
-    return Refuse(401, refusal_cause::KeyMissing);
-  }
-  if (mOrganisation == nullptr) {
-    return Refuse(401, refusal_cause::KeyUnknown);
-  }
-  return CheckQuota(aYield);
+  const auto* organisation =
+    keys == 1 ? mRoutes->FindOrganisation(*headers.Find(mServices.mNames.mKey))
+              : nullptr;
+  switch (DecideAccess({ mRoute->mIsPublic,
+                         mRoutes->Configuration().mNeedsKeys,
+                         isFresh,
+                         keys,
+                         organisation != nullptr })) {
+    case route_access::Anonymous:
+      return std::nullopt;
+    case route_access::Identified:
+      mOrganisation = organisation;
+      return std::nullopt;
+    case route_access::Limited:
+      mOrganisation = organisation;
+      return CheckQuota(aYield);
+    case route_access::KeyMissing:
+      return Refuse(401, refusal_cause::KeyMissing);
+    case route_access::KeyUnknown:
+      return Refuse(401, refusal_cause::KeyUnknown);
+    case route_access::ConfigurationStale:
+      break;
+  }
+  return Refuse(503, refusal_cause::ConfigurationStale, kUsualReturn);
 }
 
 std::optional<proxy_answer>
--- a/modules/routing/fleet_configuration.h
+++ b/modules/routing/fleet_configuration.h
@@ -80,6 +80,9 @@
   std::vector<route_spec> mRoutes;
   std::vector<service_spec> mServices;
   std::vector<organisation_spec> mOrganisations;
+  /// Routes that are not public need an organisation's API key, also if there
+  /// is no organisation left. False only for a version without a list of them.
+  bool mNeedsKeys = true;
   caller_limits mLimits;
 };
 
--- a/modules/sync/view_updater.cpp
+++ b/modules/sync/view_updater.cpp
@@ -241,7 +241,10 @@
       { { "version", std::to_string(version) },
         { "previous", std::to_string(inForce) },
         { "routes",
-          std::to_string(aChange.mIndex->Configuration().mRoutes.size()) } });
+          std::to_string(aChange.mIndex->Configuration().mRoutes.size()) },
+        { "organisations",
+          std::to_string(
+            aChange.mIndex->Configuration().mOrganisations.size()) } });
 }
 
 void
--- a/tests/platform/test_entry_codec.cpp
+++ b/tests/platform/test_entry_codec.cpp
@@ -79,6 +79,29 @@
       DOUBLES_EQUAL(rate, services->mServices.at(0).mColdRate, 1e-9);
     }
   }
+  SECTION("only a document without a list of organisations needs no keys")
+  {
+    const auto decode = [&](const std::string& aTenants) {
+      skipped.clear();
+      return DecodeConfiguration(R"({"version":8,"routes":[])" + aTenants + "}",
+                                 skipped);
+    };
+    CHECK_FALSE(decode("")->mNeedsKeys);
+    for (const auto* list : { "[]", "null", "{}", "\"none\"", "0" }) {
+      const auto configuration = decode(",\"tenants\":" + std::string(list));
+      CHECK(configuration->mNeedsKeys);
+      LONGS_EQUAL(0, configuration->mOrganisations.size());
+    }
+    const auto unreadable = decode(R"(,"tenants":[{"api-keys":["k1"]},7])");
+    CHECK(unreadable->mNeedsKeys);
+    LONGS_EQUAL(0, unreadable->mOrganisations.size());
+    LONGS_EQUAL(2, skipped.size());
+    const auto other =
+      decode(R"(,"tenants":[7,{"name":"lagos","api-keys":["k1",8]}])");
+    LONGS_EQUAL(1, other->mOrganisations.size());
+    LONGS_EQUAL(1, other->mOrganisations[0].mKeys.size());
+    LONGS_EQUAL(1, skipped.size());
+  }
   SECTION("text that is not a configuration is an error")
   {
     for (const auto* text : { "",
--- a/tests/proxy/test_requests_through_the_edge.cpp
+++ b/tests/proxy/test_requests_through_the_edge.cpp
@@ -341,6 +341,75 @@
   });
 }
 
+// Guards against routes that are open to everyone because the newest version
+// has no organisation left, at one instance and at each of several, also after
+// a restart on that version and while the store is away.
+TEST(edge_requests, TheLastOrganisationTakenAwayLeavesNobodyIn)
+{
+  edge_fixture fixture;
+  auto& target = fixture.AddTarget("w1", "workshop", Answering("cut"));
+  fixture.AddTarget("t1", "catalogue", Answering("tank"));
+  auto& second = fixture.AddInstance("i2");
+  const auto order = [&](const proxy_instance& aInstance,
+                         const std::string& aHeaders) {
+    int status = 0;
+    fixture.Run([&](yield_context aYield) {
+      status = StatusOf(fixture.CallAt(
+        aInstance, "POST", "/cuts/1", aYield, aHeaders, "one pane"));
+    });
+    return status;
+  };
+  const std::vector<std::string> keys = { "",
+                                          "Key: key-1\r\n",
+                                          "Key: key-of-nobody\r\n" };
+  LONGS_EQUAL(200, order(second, keys[1]));
+  auto withdrawn = fixture.Configuration(9);
+  withdrawn.mOrganisations.clear();
+  fixture.mFeed.Publish(withdrawn);
+  fixture.Pause(300ms);
+  const auto before = target.Requests().size();
+
+  SECTION("at the instances that had the organisation")
+  {
+    for (const auto* instance : { fixture.mInstance.get(), &second }) {
+      for (const auto& key : keys) {
+        LONGS_EQUAL(401, order(*instance, key));
+      }
+    }
+  }
+  SECTION("at one that starts on the new version")
+  {
+    auto& restarted = fixture.AddInstance("i3");
+    for (const auto& key : keys) {
+      const int status = order(restarted, key);
+      CHECK(status == 401 || status == 503);
+    }
+  }
+  SECTION("while the store is away")
+  {
+    fixture.mFeed.SetDown(true);
+    fixture.Pause(5s);
+    for (const auto& key : keys) {
+      LONGS_EQUAL(503, order(*fixture.mInstance, key));
+    }
+    fixture.mFeed.SetDown(false);
+    fixture.Pause(2s);
+  }
+  LONGS_EQUAL(before, target.Requests().size());
+  SECTION("a public route stays open")
+  {
+    fixture.Run([&](yield_context aYield) {
+      LONGS_EQUAL(200, StatusOf(fixture.Call("GET", "/open/1", aYield, "")));
+    });
+  }
+  SECTION("the next version with an organisation serves it")
+  {
+    fixture.mFeed.Publish(fixture.Configuration(10));
+    fixture.Pause(fixture.mSettings.mBounds.mConfiguration);
+    LONGS_EQUAL(200, order(second, keys[1]));
+  }
+}
+
 // Guards against a shutdown that cuts a request (P10).
 TEST(edge_requests, ALeavingInstanceFinishesWhatItHas)
 {
