Public routes name no former organisation of a key

Cause: both checks of the configuration's age left public routes out, but a request with a key got its organisation there all the same.

Change: a request with one key is refused with 503 on a public route while the configuration is too old to say whose key it is. Requests without a key are served as before.

The test failed before: edge_requests.APublicRouteNamesNoFormerOrganisation, "expected <3> but was <0>" refusals; the target was told "lagos".

Measured: the groups edge_requests and route_access pass.

--- a/modules/proxy/request_handler.cpp
+++ b/modules/proxy/request_handler.cpp
@@ -418,8 +418,7 @@
     return refusal_cause::Leaving;
   }
   const auto now = mServices.mScheduler.Now();
-  if (!mRoute->mIsPublic && mOrganisation != nullptr &&
-      !mServices.mView.mFreshness.IsFresh(now)) {
+  if (mOrganisation != nullptr && !mServices.mView.mFreshness.IsFresh(now)) {
     return refusal_cause::ConfigurationStale;
   }
   if (mServices.mCrashes.IsBlocked(mFingerprint, now)) {
--- a/modules/routing/route_access.cpp
+++ b/modules/routing/route_access.cpp
@@ -7,7 +7,10 @@
 {
   const bool isOpenToAll =
     aFacts.mIsRoutePublic || (!aFacts.mNeedsKeys && aFacts.mKeys == 0);
-  if (isOpenToAll) {
+  // Whose key it is now decides the organisation that a target is told of.
+  const bool hasKeyOfUnknownHolder =
+    aFacts.mKeys == 1 && !aFacts.mIsConfigurationFresh;
+  if (isOpenToAll && !hasKeyOfUnknownHolder) {
     return aFacts.mIsKeyKnown ? route_access::Identified
                               : route_access::Anonymous;
   }
--- a/modules/routing/route_access.h
+++ b/modules/routing/route_access.h
@@ -24,7 +24,7 @@
   Limited,            ///< Allowed for the key's organisation, by its quota.
   KeyMissing,         ///< Refused: not exactly one key.
   KeyUnknown,         ///< Refused: no organisation holds the key.
-  ConfigurationStale, ///< Refused: the key may have been withdrawn.
+  ConfigurationStale, ///< Refused: another may hold the key by now, or nobody.
 };
 
 /// Decides by what is known: how many organisations the configuration has makes
--- a/tests/proxy/test_requests_through_the_edge.cpp
+++ b/tests/proxy/test_requests_through_the_edge.cpp
@@ -410,6 +410,53 @@
   }
 }
 
+// Guards against a target that is told, on a public route, of an organisation
+// that no longer holds the caller's key: one instance is turned away by the
+// store while the key goes to another organisation.
+TEST(edge_requests, APublicRouteNamesNoFormerOrganisation)
+{
+  edge_fixture fixture;
+  auto& target = fixture.AddTarget("t1", "catalogue", Answering("tank"));
+  const auto namedBy = [&](const std::string& aHeaders) {
+    fixture.Run([&](yield_context aYield) {
+      LONGS_EQUAL(200,
+                  StatusOf(fixture.Call("GET", "/open/1", aYield, aHeaders)));
+    });
+    return HeaderOf(target.Requests().back(), "Organisation");
+  };
+  const std::string key = "Key: key-1\r\n";
+  CHECK_EQUAL(std::string("lagos"), namedBy(key));
+
+  fixture.mFeed.SetDown(true);
+  auto moved = fixture.Configuration(9);
+  moved.mOrganisations[0].mName = "jardins";
+  fixture.mFeed.Publish(moved);
+  fixture.Pause(5s);
+  SECTION("whose key it is now, the instance cannot know")
+  {
+    const auto before = target.Requests().size();
+    LONGS_EQUAL(3, fixture.CountStatuses(3, "/open/1", key)[503]);
+    // It may be a new one of an organisation.
+    LONGS_EQUAL(
+      3, fixture.CountStatuses(3, "/open/1", "Key: key-of-nobody\r\n")[503]);
+    LONGS_EQUAL(before, target.Requests().size());
+  }
+  SECTION("a request without a key needs no configuration of now")
+  {
+    CHECK_EQUAL(std::string("(none)"), namedBy(""));
+  }
+  fixture.mFeed.SetDown(false);
+  fixture.Pause(2s);
+  SECTION("back in touch it names the organisation that has the key")
+  {
+    CHECK_EQUAL(std::string("jardins"), namedBy(key));
+  }
+  SECTION("and none for a key that nobody has")
+  {
+    CHECK_EQUAL(std::string("(none)"), namedBy("Key: key-of-nobody\r\n"));
+  }
+}
+
 // Guards against a shutdown that cuts a request (P10).
 TEST(edge_requests, ALeavingInstanceFinishesWhatItHas)
 {
