--- a/modules/proxy/proxy_instance.cpp
+++ b/modules/proxy/proxy_instance.cpp
@@ -177,17 +177,20 @@
     [this](yield_context aYield) { RequestLimitsOnceReady(aYield); });
 }
 
-quota_limit
+configured_limit
 proxy_instance::LimitOf(std::string_view aOrganisation) const
 {
   if (!mView.mRoutes) {
     return {};
   }
-  const auto* organisation =
-    mView.mRoutes->FindOrganisationByName(aOrganisation);
-  return organisation == nullptr
-           ? quota_limit{}
-           : quota_limit{ organisation->mRate, organisation->mBurst };
+  configured_limit configured;
+  configured.mVersion = mView.mRoutes->Configuration().mVersion;
+  if (const auto* organisation =
+        mView.mRoutes->FindOrganisationByName(aOrganisation)) {
+    configured.mLimit =
+      quota_limit{ organisation->mRate, organisation->mBurst };
+  }
+  return configured;
 }
 
 std::vector<std::string>
@@ -268,7 +271,7 @@
     }
     void operator()(const quota_request& aQuestion) const
     {
-      // Without a configuration nothing is known of the organisation.
+      // An instance that is starting does not know the earlier owners yet.
       if (mInstance.mView.mRoutes) {
         mInstance.mOwners.OnPeerRequest(
           aQuestion, mInstance.LimitOf(aQuestion.mOrganisation), mFrom);
@@ -292,11 +295,14 @@
     }
     void operator()(const quota_handover_request& aQuestion) const
     {
-      mInstance.mOwners.OnPeerRequest(aQuestion, mFrom);
+      mInstance.mOwners.OnPeerRequest(
+        aQuestion, mInstance.LimitOf(aQuestion.mOrganisation), mFrom);
     }
     void operator()(const quota_handover& aAnswer) const
     {
-      mInstance.mOwners.OnReply(aAnswer);
+      mInstance.mOwners.OnReply(aAnswer, [&](std::string_view aOrganisation) {
+        return mInstance.LimitOf(aOrganisation);
+      });
     }
     void operator()(const changes_request& aQuestion) const
     {
--- a/modules/proxy/proxy_instance.h
+++ b/modules/proxy/proxy_instance.h
@@ -51,7 +51,8 @@
                  std::uint64_t aSeed);
 
   void OnPeerMessage(const peer_message& aMessage, const udp_endpoint& aFrom);
-  quota_limit LimitOf(std::string_view aOrganisation) const;
+  /// By the configuration in force; version 0 without one.
+  configured_limit LimitOf(std::string_view aOrganisation) const;
   void RunHousekeeping(yield_context aYield);
   void RunLoadReports(yield_context aYield);
   /// Waits until the store has been read in full, or the instance stops.
--- a/modules/proxy/request_handler.cpp
+++ b/modules/proxy/request_handler.cpp
@@ -206,10 +206,12 @@
 {
   const auto admission =
     mServices.mOwners.Admit(mOrganisation->mName,
-                            { mOrganisation->mRate, mOrganisation->mBurst },
+                            { mRoutes->Configuration().mVersion,
+                              { mOrganisation->mRate, mOrganisation->mBurst } },
                             aYield);
   mQuotaSource = QuotaSourceName(admission.mSource);
   mQuotaDecidedBy = admission.mDecidedBy;
+  mQuotaVersion = admission.mVersion;
   if (!admission.mDecision.mIsAdmitted) {
     return Refuse(
       429,
@@ -626,6 +628,7 @@
       { "attempts", attempts },
       { "quota", mQuotaSource },
       { "quota_by", mQuotaDecidedBy },
+      { "quota_version", std::to_string(mQuotaVersion) },
       { "took_ms", Milliseconds(now - mReceivedAt) },
       { "left_ms", Milliseconds(mDeadline - now) },
       { "version",
--- a/modules/proxy/request_handler.h
+++ b/modules/proxy/request_handler.h
@@ -109,6 +109,7 @@
   std::optional<http_response> mTargetFailure;
   const char* mQuotaSource = "none";
   std::string mQuotaDecidedBy;
+  std::uint64_t mQuotaVersion = 0; ///< quota_admission::mVersion.
 };
 
 } // namespace cowslipline
--- a/modules/sharing/owner_client.cpp
+++ b/modules/sharing/owner_client.cpp
@@ -35,6 +35,10 @@
 
 constexpr std::size_t kMaxOwners = 2;
 
+// Delay for callers of an organisation whose limit the owner does not know: as
+// long as a new version takes to reach an instance in touch.
+constexpr duration kUnknownLimitRetryAfter = 2s;
+
 /// The item by which the owner of a target's limit is named.
 std::string
 SendPermitItem(const std::string& aTarget)
@@ -115,7 +119,7 @@
 }
 
 template<typename Request>
-std::optional<quota_decision>
+std::optional<owner_client::owner_decision>
 owner_client::AskOwner(Request aRequest,
                        const udp_endpoint& aOwner,
                        duration aTimeout,
@@ -143,24 +147,30 @@
 
 quota_admission
 owner_client::Admit(const std::string& aOrganisation,
-                    const quota_limit& aLimit,
+                    const stated_limit& aLimit,
                     yield_context aYield)
 {
-  if (aLimit.mRate <= 0) {
-    return { { true, duration(0) }, quota_source::Unlimited, {} };
+  const auto limit =
+    mLimits
+      .Latest(aOrganisation, { aLimit.mVersion, aLimit.mLimit }, std::nullopt)
+      .value_or(aLimit);
+  if (limit.mLimit.mRate <= 0) {
+    return {
+      { true, duration(0) }, quota_source::Unlimited, {}, limit.mVersion
+    };
   }
   const auto owners = OwnersOf(aOrganisation);
   const auto& self = mMembers.Self().mName;
   for (std::size_t i = 0; i < owners.size(); ++i) {
     const auto& owner = owners[i];
-    std::optional<quota_decision> decision;
+    std::optional<owner_decision> decision;
     auto source =
       i == 0 ? quota_source::RemoteOwner : quota_source::SecondOwner;
     if (owner.mName == self) {
-      decision = DecideAsOwner(aOrganisation, aLimit, std::nullopt, aYield);
+      decision = DecideAsOwner(aOrganisation, limit, std::nullopt, aYield);
       source = quota_source::LocalOwner;
     } else {
-      const quota_request request{ 0, aOrganisation };
+      const quota_request request{ 0, aOrganisation, limit };
       decision = AskOwner(request, owner.mAddress, kFirstReplyTimeout, aYield);
       // Repeated once because a datagram may be lost.
       if (!decision) {
@@ -169,18 +179,19 @@
       }
     }
     if (decision) {
-      return { *decision, source, owner.mName };
+      return { decision->mDecision, source, owner.mName, decision->mVersion };
     }
     MarkUnresponsive(owner, aOrganisation);
   }
   const double localShare =
     kLocalShareFraction / static_cast<double>(mMembers.Count(mScheduler.Now()));
   return { mLocalShares.Admit(aOrganisation,
-                              { aLimit.mRate * localShare, 0 },
+                              { limit.mLimit.mRate * localShare, 0 },
                               mScheduler.Now(),
                               mScheduler.Now()),
            quota_source::LocalShare,
-           self };
+           self,
+           limit.mVersion };
 }
 
 bool
@@ -203,7 +214,7 @@
     MarkUnresponsive(owners[0], aService);
     return false;
   }
-  return decision->mIsAdmitted;
+  return decision->mDecision.mIsAdmitted;
 }
 
 std::optional<permit_decision>
@@ -231,7 +242,8 @@
     const auto decision =
       AskOwner(request, owner.mAddress, kFirstReplyTimeout, aYield);
     if (decision) {
-      return permit_decision{ decision->mIsAdmitted, decision->mRetryAfter };
+      return permit_decision{ decision->mDecision.mIsAdmitted,
+                              decision->mDecision.mRetryAfter };
     }
     MarkUnresponsive(owner, item);
   }
@@ -261,31 +273,66 @@
 
 void
 owner_client::OnPeerRequest(const quota_request& aRequest,
-                            const quota_limit& aLimit,
+                            const configured_limit& aOwn,
                             const udp_endpoint& aFrom)
 {
-  if (const auto decision = DecideIfHeld(aRequest.mOrganisation, aLimit)) {
+  const auto& organisation = aRequest.mOrganisation;
+  const auto now = mScheduler.Now();
+  if (aRequest.mLimit &&
+      mLimits.Learn(organisation, *aRequest.mLimit, aOwn, now)) {
+    LogLaterLimit(organisation, *aRequest.mLimit, aOwn);
+  }
+  const auto limit = mLimits.Latest(organisation, aOwn, aRequest.mLimit);
+  if (!limit) {
+    Log(log_level::Warn,
+        "quota_limit_unknown",
+        { { "organisation", organisation },
+          { "version", std::to_string(aOwn.mVersion) } });
+    Reply(aRequest.mId, { { false, kUnknownLimitRetryAfter } }, aFrom);
+    return;
+  }
+  if (const auto decision = DecideIfHeld(organisation, *limit)) {
     Reply(aRequest.mId, *decision, aFrom);
     return;
   }
   mScheduler.Spawn(
-    [this, request = aRequest, limit = aLimit, aFrom](yield_context aYield) {
+    [this, request = aRequest, limit = *limit, aFrom](yield_context aYield) {
       Reply(request.mId,
             DecideAsOwner(request.mOrganisation, limit, aFrom, aYield),
             aFrom);
     });
 }
 
+void
+owner_client::LogLaterLimit(const std::string& aOrganisation,
+                            const stated_limit& aLater,
+                            const configured_limit& aOwn)
+{
+  if (aOwn.mLimit && aOwn.mLimit->mRate == aLater.mLimit.mRate &&
+      aOwn.mLimit->mBurst == aLater.mLimit.mBurst) {
+    return;
+  }
+  Log(log_level::Info,
+      "quota_limit_learned",
+      { { "organisation", aOrganisation },
+        { "rate", std::to_string(aLater.mLimit.mRate) },
+        { "version", std::to_string(aLater.mVersion) },
+        { "own_rate",
+          aOwn.mLimit ? std::to_string(aOwn.mLimit->mRate) : "unknown" },
+        { "own_version", std::to_string(aOwn.mVersion) } });
+}
+
 void
 owner_client::Reply(std::uint64_t aRequestId,
-                    const quota_decision& aDecision,
+                    const owner_decision& aDecision,
                     const udp_endpoint& aTo)
 {
   const auto retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(
-    aDecision.mRetryAfter);
+    aDecision.mDecision.mRetryAfter);
   mLink.Send(owner_reply{ aRequestId,
-                          aDecision.mIsAdmitted,
-                          static_cast<std::uint32_t>(retryAfter.count()) },
+                          aDecision.mDecision.mIsAdmitted,
+                          static_cast<std::uint32_t>(retryAfter.count()),
+                          aDecision.mVersion },
              aTo);
 }
 
@@ -295,9 +342,9 @@
   return { mMembers.IsFirstOwner(aOrganisation), mMembers.Epoch() };
 }
 
-std::optional<quota_decision>
+std::optional<owner_client::owner_decision>
 owner_client::DecideIfHeld(const std::string& aOrganisation,
-                           const quota_limit& aLimit)
+                           const stated_limit& aLimit)
 {
   const auto now = mScheduler.Now();
   const auto standing = StandingOf(aOrganisation);
@@ -307,12 +354,15 @@
     return std::nullopt;
   }
   mHoldings.Hold(aOrganisation, standing, now);
-  return mQuotas.Admit(aOrganisation, aLimit, SoleOwnerSince(standing), now);
+  return owner_decision{
+    mQuotas.Admit(aOrganisation, aLimit.mLimit, SoleOwnerSince(standing), now),
+    aLimit.mVersion
+  };
 }
 
-quota_decision
+owner_client::owner_decision
 owner_client::DecideAsOwner(const std::string& aOrganisation,
-                            const quota_limit& aLimit,
+                            const stated_limit& aLimit,
                             const std::optional<udp_endpoint>& aAskedBy,
                             yield_context aYield)
 {
@@ -332,7 +382,7 @@
     const auto* handed = std::get_if<quota_handed_over>(&place);
     // The instance that took it over does not hold it if it asks this one.
     if (handed != nullptr && aAskedBy != handed->mTo) {
-      const auto decision = AskOwner(quota_request{ 0, aOrganisation },
+      const auto decision = AskOwner(quota_request{ 0, aOrganisation, aLimit },
                                      handed->mTo,
                                      kFirstReplyTimeout,
                                      aYield);
@@ -344,7 +394,7 @@
     }
     TakeOver(aOrganisation, aYield);
   }
-  return { false, kFirstReplyTimeout };
+  return { { false, kFirstReplyTimeout }, aLimit.mVersion };
 }
 
 void
@@ -406,6 +456,7 @@
 
 void
 owner_client::OnPeerRequest(const quota_handover_request& aRequest,
+                            const configured_limit& aOwn,
                             const udp_endpoint& aFrom)
 {
   const auto& organisation = aRequest.mOrganisation;
@@ -422,18 +473,25 @@
       reply.mState = mQuotas.Release(organisation, now);
       mHoldings.HandOver(organisation, aFrom, reply.mState, now);
     }
+    reply.mLimit = mLimits.Learned(organisation, aOwn);
   }
   mLink.Send(reply, aFrom);
 }
 
 void
-owner_client::OnReply(const quota_handover& aReply)
+owner_client::OnReply(
+  const quota_handover& aReply,
+  const std::function<configured_limit(std::string_view)>& aOwn)
 {
   for (const auto& [organisation, taking] : mTakeovers) {
     if (taking->mAwaited.erase(aReply.mId) > 0) {
       if (aReply.mState) {
         taking->mStates.push_back(*aReply.mState);
       }
+      if (aReply.mLimit) {
+        mLimits.Learn(
+          organisation, *aReply.mLimit, aOwn(organisation), mScheduler.Now());
+      }
       RequestHandover(*taking, organisation, aReply.mHeldBy);
       taking->mReplyArrived.Set();
       return;
@@ -462,8 +520,9 @@
     return;
   }
   found->second->mDecision =
-    quota_decision{ aReply.mIsAdmitted,
-                    std::chrono::milliseconds(aReply.mRetryAfterMs) };
+    owner_decision{ { aReply.mIsAdmitted,
+                      std::chrono::milliseconds(aReply.mRetryAfterMs) },
+                    aReply.mVersion };
   found->second->mReplyArrived.Set();
 }
 
@@ -474,6 +533,7 @@
   // would be dated to the next request.
   MembershipChangedAt();
   mQuotas.Prune(mScheduler.Now());
+  mLimits.Prune(mScheduler.Now());
   mHoldings.Prune(mScheduler.Now());
   mLocalShares.Prune(mScheduler.Now());
   mSendPermits.Prune(mScheduler.Now());
--- a/modules/sharing/owner_client.h
+++ b/modules/sharing/owner_client.h
@@ -7,7 +7,9 @@
 #include "modules/sharing/peer_link.h"
 #include "modules/sharing/quota_bucket.h"
 #include "modules/sharing/quota_holdings.h"
+#include "modules/sharing/stated_limits.h"
 
+#include <functional>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -34,6 +36,8 @@
   quota_decision mDecision;
   quota_source mSource = quota_source::Unlimited;
   std::string mDecidedBy{}; ///< Instance; empty if there is no limit.
+  /// Of the configuration that states the limit; 0: not known.
+  std::uint64_t mVersion = 0;
 };
 
 /// Settings of the decisions that owners make.
@@ -65,10 +69,10 @@
   /// The windows must equal the present ones.
   void SetLimits(const owner_limits& aLimits);
 
-  /// Decides on one request of the organisation. Waits at most 300 ms for
-  /// replies.
+  /// Decides on one request of the organisation. aLimit: by the configuration
+  /// that the request is handled by. Waits at most 300 ms for replies.
   quota_admission Admit(const std::string& aOrganisation,
-                        const quota_limit& aLimit,
+                        const stated_limit& aLimit,
                         yield_context aYield);
 
   /// Counts a request that adds to the retry budget of its service.
@@ -91,28 +95,39 @@
                                                 yield_context aYield);
 
   /// Hands the organisation's quota over to the instance at aFrom.
+  /// aOwn: by this instance's configuration.
   void OnPeerRequest(const quota_handover_request& aRequest,
+                     const configured_limit& aOwn,
                      const udp_endpoint& aFrom);
-  /// Decides as the owner and replies to the instance at aFrom. aLimit: the
-  /// organisation's limit in this instance's configuration.
+  /// Decides as the owner and replies to the instance at aFrom. aOwn: by this
+  /// instance's configuration. The latest version that either of them knows
+  /// decides; if neither states a limit, the request is refused.
   void OnPeerRequest(const quota_request& aRequest,
-                     const quota_limit& aLimit,
+                     const configured_limit& aOwn,
                      const udp_endpoint& aFrom);
   void OnPeerRequest(const retry_request& aRequest, const udp_endpoint& aFrom);
   void OnPeerRequest(const send_permit_request& aRequest,
                      const udp_endpoint& aFrom);
   /// Ignored if the request it replies to has timed out.
   void OnReply(const owner_reply& aReply);
-  void OnReply(const quota_handover& aReply);
+  /// aOwn: by this instance's configuration, for an organisation.
+  void OnReply(const quota_handover& aReply,
+               const std::function<configured_limit(std::string_view)>& aOwn);
 
   /// Removes the quota state of organisations without recent requests. To be
   /// called regularly: it also records the time of membership changes.
   void Prune();
 
 private:
+  struct owner_decision
+  {
+    quota_decision mDecision;
+    std::uint64_t mVersion = 0; ///< As in owner_reply.
+  };
+
   struct pending_request
   {
-    std::optional<quota_decision> mDecision;
+    std::optional<owner_decision> mDecision;
     event mReplyArrived;
   };
 
@@ -142,14 +157,14 @@
   owner_standing StandingOf(const std::string& aOrganisation);
 
   /// Decides on a request of the organisation if this instance holds its quota.
-  std::optional<quota_decision> DecideIfHeld(const std::string& aOrganisation,
-                                             const quota_limit& aLimit);
+  std::optional<owner_decision> DecideIfHeld(const std::string& aOrganisation,
+                                             const stated_limit& aLimit);
 
   /// Decides as an owner: takes the quota over first if it is held elsewhere,
   /// or forwards the request. aAskedBy: the instance that asks; none for a
   /// request of this instance.
-  quota_decision DecideAsOwner(const std::string& aOrganisation,
-                               const quota_limit& aLimit,
+  owner_decision DecideAsOwner(const std::string& aOrganisation,
+                               const stated_limit& aLimit,
                                const std::optional<udp_endpoint>& aAskedBy,
                                yield_context aYield);
 
@@ -161,8 +176,13 @@
   /// Asks the earlier owners for the quota and holds it from then on.
   void TakeOver(const std::string& aOrganisation, yield_context aYield);
 
+  /// Nothing while the limits are the same, as after most new versions.
+  static void LogLaterLimit(const std::string& aOrganisation,
+                            const stated_limit& aLater,
+                            const configured_limit& aOwn);
+
   void Reply(std::uint64_t aRequestId,
-             const quota_decision& aDecision,
+             const owner_decision& aDecision,
              const udp_endpoint& aTo);
 
   /// Logs that the owner did not reply and skips it for a while.
@@ -170,7 +190,7 @@
 
   /// Sends the request and waits for the reply; empty after aTimeout.
   template<typename Request>
-  std::optional<quota_decision> AskOwner(Request aRequest,
+  std::optional<owner_decision> AskOwner(Request aRequest,
                                          const udp_endpoint& aOwner,
                                          duration aTimeout,
                                          yield_context aYield);
@@ -179,6 +199,7 @@
   member_table& mMembers;
   peer_link& mLink;
   quota_buckets mQuotas;
+  stated_limits mLimits;
   quota_holdings mHoldings;
   /// Limits requests to a local share of each rate while no owner replies.
   quota_buckets mLocalShares;
--- a/modules/sharing/peer_message.cpp
+++ b/modules/sharing/peer_message.cpp
@@ -39,6 +39,25 @@
   SlotReturn,
 };
 
+/// Not negative.
+std::uint64_t
+MillisecondsOf(duration aDuration)
+{
+  return static_cast<std::uint64_t>(std::max<duration::rep>(
+    0, static_cast<duration::rep>(aDuration / std::chrono::milliseconds(1))));
+}
+
+/// Appends the version, the rate and the burst.
+void
+AppendLimit(json& aFields, const std::optional<stated_limit>& aLimit)
+{
+  if (aLimit) {
+    aFields.push_back(aLimit->mVersion);
+    aFields.push_back(aLimit->mLimit.mRate);
+    aFields.push_back(aLimit->mLimit.mBurst);
+  }
+}
+
 json
 Encode(const std::string& aSender, const target_report& aReport)
 {
@@ -84,11 +103,13 @@
 json
 Encode(const std::string& aSender, const quota_request& aRequest)
 {
-  return { kProtocolVersion,
-           static_cast<int>(message_kind::QuotaRequest),
-           aSender,
-           aRequest.mId,
-           aRequest.mOrganisation };
+  json fields = { kProtocolVersion,
+                  static_cast<int>(message_kind::QuotaRequest),
+                  aSender,
+                  aRequest.mId,
+                  aRequest.mOrganisation };
+  AppendLimit(fields, aRequest.mLimit);
+  return fields;
 }
 
 json
@@ -108,7 +129,8 @@
            aSender,
            aReply.mId,
            aReply.mIsAdmitted,
-           aReply.mRetryAfterMs };
+           aReply.mRetryAfterMs,
+           aReply.mVersion };
 }
 
 json
@@ -232,11 +254,10 @@
                   aHandover.mHeldBy.address().to_string(),
                   aHandover.mHeldBy.port() };
   if (aHandover.mState) {
-    const auto idleMs = aHandover.mState->mIdle / std::chrono::milliseconds(1);
     fields.push_back(aHandover.mState->mTokens);
-    fields.push_back(static_cast<std::uint64_t>(
-      std::max<duration::rep>(0, static_cast<duration::rep>(idleMs))));
+    fields.push_back(MillisecondsOf(aHandover.mState->mIdle));
     fields.push_back(aHandover.mState->mAdmitted);
+    AppendLimit(fields, aHandover.mLimit);
   }
   return fields;
 }
@@ -301,6 +322,39 @@
   return state;
 }
 
+/// The version, the rate and the burst that begin at aIndex. Nothing if they
+/// are not there, as from instances of an earlier version. Errors:
+/// errc::MessageMalformed.
+result<std::optional<stated_limit>>
+DecodeLimit(const json& aFields, std::size_t aIndex)
+{
+  if (aFields.size() <= aIndex) {
+    return std::optional<stated_limit>();
+  }
+  const auto isAmount = [&](std::size_t aField) {
+    return aFields[aField].is_number() &&
+           std::isfinite(aFields[aField].get<double>()) &&
+           aFields[aField].get<double>() >= 0;
+  };
+  if (aFields.size() < aIndex + 3 || !aFields[aIndex].is_number_unsigned() ||
+      !isAmount(aIndex + 1) || !isAmount(aIndex + 2)) {
+    return Fail(errc::MessageMalformed);
+  }
+  return std::optional(stated_limit{
+    aFields[aIndex], { aFields[aIndex + 1], aFields[aIndex + 2] } });
+}
+
+/// The kinds of the id and the organisation have been checked.
+result<peer_payload>
+DecodeQuotaRequest(const json& aFields)
+{
+  const auto limit = DecodeLimit(aFields, 5);
+  if (!limit) {
+    return Fail(limit.error());
+  }
+  return quota_request{ aFields[3], aFields[4], *limit };
+}
+
 /// The kinds of the id, the address and the port have been checked.
 result<peer_payload>
 DecodeHandover(const json& aFields)
@@ -317,9 +371,11 @@
   handover.mHeldBy = { address, static_cast<std::uint16_t>(port) };
   if (aFields.size() > 8) {
     handover.mState = DecodeQuotaState(aFields[6], aFields[7], aFields[8]);
-    if (!handover.mState) {
+    const auto limit = DecodeLimit(aFields, 9);
+    if (!handover.mState || !limit) {
       return Fail(errc::MessageMalformed);
     }
+    handover.mLimit = *limit;
   }
   return handover;
 }
@@ -480,7 +536,7 @@
       break;
     case message_kind::QuotaRequest:
       if (isUnsigned(3) && isString(4)) {
-        return quota_request{ aFields[3], aFields[4] };
+        return DecodeQuotaRequest(aFields);
       }
       break;
     case message_kind::RetryRequest:
@@ -496,7 +552,9 @@
       break;
     case message_kind::OwnerReply:
       if (isUnsigned(3) && isBoolean(4) && isUnsigned(5)) {
-        return owner_reply{ aFields[3], aFields[4], aFields[5] };
+        return owner_reply{
+          aFields[3], aFields[4], aFields[5], unsignedOrZero(6)
+        };
       }
       break;
     case message_kind::ChangesRequest:
--- a/modules/sharing/peer_message.h
+++ b/modules/sharing/peer_message.h
@@ -2,6 +2,7 @@
 
 #include "core/result.h"
 #include "modules/sharing/quota_bucket.h"
+#include "modules/sharing/stated_limits.h"
 
 #include <cstdint>
 #include <limits>
@@ -57,6 +58,9 @@
 {
   std::uint64_t mId = 0;
   std::string mOrganisation;
+  /// By the sender's configuration. Nothing from instances of an earlier
+  /// version.
+  std::optional<stated_limit> mLimit{};
 };
 
 /// Asks the owner of a service's retry budget for one retry.
@@ -78,6 +82,9 @@
   bool mIsAdmitted = false;
   /// Milliseconds after which a refused caller may be admitted.
   std::uint32_t mRetryAfterMs = 0;
+  /// Version of the configuration by which a quota was decided; 0: none, and
+  /// from instances of an earlier version.
+  std::uint64_t mVersion = 0;
 };
 
 /// What the sender saw of a target's rate limit.
@@ -188,6 +195,9 @@
   /// The instance that the sender had handed the quota over to before, which
   /// has to be asked too; port 0: none.
   udp_endpoint mHeldBy;
+  /// The limit that the sender decided by if it is of a later version than its
+  /// configuration; only beside a state.
+  std::optional<stated_limit> mLimit{};
 };
 
 /// The sender, which was the reader of its availability zone, cannot reach the
--- a/tests/proxy/test_quota_owners.cpp
+++ b/tests/proxy/test_quota_owners.cpp
@@ -26,14 +26,16 @@
 class divided_fleet
 {
 public:
-  explicit divided_fleet(edge_fixture& aFixture)
+  /// aOwners: the configuration of the first owner, if it differs from that of
+  /// the others, which is version 4.
+  explicit divided_fleet(
+    edge_fixture& aFixture,
+    const std::optional<fleet_configuration>& aOwners = std::nullopt)
     : mFixture(aFixture)
   {
     auto settings = aFixture.mSettings;
     settings.mBounds.mOwners.mQuotas.mWindow = kWindow;
-    auto configuration = aFixture.Configuration(4);
-    configuration.mOrganisations[0].mRate = kRate;
-    configuration.mOrganisations[0].mBurst = kBurst;
+    const auto configuration = Limited(aFixture, 4, kRate);
     auto& target = aFixture.AddTarget(
       "t1",
       "catalogue",
@@ -44,7 +46,7 @@
       });
     for (std::size_t i = 0; i < mFeeds.size(); ++i) {
       mFeeds[i] = std::make_unique<memory_platform_feed>(aFixture.mScheduler);
-      mFeeds[i]->Publish(configuration);
+      mFeeds[i]->Publish(i == 0 && aOwners ? *aOwners : configuration);
       mFeeds[i]->PutTarget(target.Entry("catalogue", "a"));
       settings.mInstance = OwnerNames()[i];
       settings.mAvailabilityZone = ZoneOf(i);
@@ -64,6 +66,17 @@
     Pause(200ms);
   }
 
+  /// A version in which the organisation has this rate and the usual burst.
+  static fleet_configuration Limited(const edge_fixture& aFixture,
+                                     std::uint64_t aVersion,
+                                     double aRate)
+  {
+    auto configuration = aFixture.Configuration(aVersion);
+    configuration.mOrganisations[0].mRate = aRate;
+    configuration.mOrganisations[0].mBurst = kBurst;
+    return configuration;
+  }
+
   /// Names by their place among the owners of the organisation's quota.
   static const std::vector<std::string>& OwnerNames()
   {
@@ -195,3 +208,145 @@
     CHECK(fleet.MostServedInWindow() >= kRate);
   }
 }
+
+namespace {
+
+/// The most requests served in a window while instances 1 and 2, which know
+/// the limit by version 4, ask an owner with this configuration.
+std::size_t
+MostServedWithOwnerAt(edge_fixture& aFixture, const fleet_configuration& aOwner)
+{
+  divided_fleet fleet(aFixture, aOwner);
+  fleet.StartCallers(1);
+  fleet.StartCallers(2);
+  fleet.Pause(2500ms);
+  fleet.StopCallers();
+  return fleet.MostServedInWindow();
+}
+
+} // namespace
+
+// Guards against a quota that is admitted without a limit because its owner
+// does not know the organisation, or decides by an older version than the
+// instances that ask it.
+TEST(quota_owners, DecideByTheNewestVersionThatTheyAndTheirAskersKnow)
+{
+  SECTION("an owner behind that does not know the organisation")
+  {
+    edge_fixture fixture;
+    auto older = fixture.Configuration(3);
+    older.mOrganisations[0].mName = "jardins";
+    const auto most = MostServedWithOwnerAt(fixture, older);
+    CHECK(most <= kAllowed);
+    CHECK(most >= kRate);
+  }
+  SECTION("an owner behind that knows of no organisation")
+  {
+    edge_fixture fixture;
+    auto older = fixture.Configuration(3);
+    older.mOrganisations.clear();
+    const auto most = MostServedWithOwnerAt(fixture, older);
+    CHECK(most <= kAllowed);
+    CHECK(most >= kRate);
+  }
+  SECTION("an owner behind by whose version there is no limit")
+  {
+    edge_fixture fixture;
+    const auto most =
+      MostServedWithOwnerAt(fixture, divided_fleet::Limited(fixture, 3, 0));
+    CHECK(most <= kAllowed);
+    CHECK(most >= kRate);
+  }
+  SECTION("an owner behind by whose version the limit is higher")
+  {
+    edge_fixture fixture;
+    const auto most = MostServedWithOwnerAt(
+      fixture, divided_fleet::Limited(fixture, 3, 10 * kRate));
+    CHECK(most <= kAllowed);
+    CHECK(most >= kRate);
+  }
+  SECTION("an owner behind by whose version the limit is lower")
+  {
+    edge_fixture fixture;
+    const auto most =
+      MostServedWithOwnerAt(fixture, divided_fleet::Limited(fixture, 3, 1));
+    CHECK(most <= kAllowed);
+    CHECK(most >= kRate);
+  }
+  SECTION("an owner ahead by whose version the limit is lower")
+  {
+    edge_fixture fixture;
+    const auto most =
+      MostServedWithOwnerAt(fixture, divided_fleet::Limited(fixture, 5, 5));
+    // (5 x 2 + 50) x 1.1 + 20.
+    CHECK(most <= 86);
+  }
+  SECTION("an owner ahead in whose version the organisation is gone")
+  {
+    edge_fixture fixture;
+    auto newer = fixture.Configuration(5);
+    newer.mOrganisations[0].mName = "jardins";
+    const auto most = MostServedWithOwnerAt(fixture, newer);
+    CHECK(most <= kAllowed);
+    CHECK(most >= kRate);
+  }
+  SECTION("an owner behind whose own callers send, too")
+  {
+    edge_fixture fixture;
+    divided_fleet fleet(fixture,
+                        divided_fleet::Limited(fixture, 3, 10 * kRate));
+    fleet.StartCallers(0);
+    fleet.StartCallers(1);
+    fleet.Pause(4s);
+    fleet.StopCallers();
+    // Until the first question its own callers have what version 3 gives them.
+    CHECK(fleet.MostServedInWindow() <= kAllowed);
+  }
+}
+
+// Guards against an owner that admits what an instance of an earlier version
+// asks for without the limit, about an organisation that the owner lacks.
+TEST(quota_owners, RefuseWhatNeitherSideStatesALimitFor)
+{
+  edge_fixture fixture;
+  fixture.mFeed.Publish(divided_fleet::Limited(fixture, 5, kRate));
+  fixture.Pause(200ms);
+  auto opened = peer_link::Open(
+    fixture.mContext, "earlier", { asio::ip::make_address("127.0.0.1"), 0 });
+  CHECK(opened.has_value());
+  std::optional<owner_reply> reply;
+  (*opened)->SetHandler([&](const peer_message& aMessage, const udp_endpoint&) {
+    if (const auto* received = std::get_if<owner_reply>(&aMessage.mPayload)) {
+      reply = *received;
+    }
+  });
+  const auto ask = [&](quota_request aQuestion) {
+    reply.reset();
+    aQuestion.mId = 7;
+    (*opened)->Send(aQuestion, fixture.mInstance->PeersAddress());
+    fixture.Pause(200ms);
+    CHECK(reply.has_value());
+    return reply.value_or(owner_reply());
+  };
+
+  SECTION("an organisation that the owner does not know is refused")
+  {
+    const auto refused = ask({ 0, "jardins", std::nullopt });
+    CHECK_FALSE(refused.mIsAdmitted);
+    CHECK(refused.mRetryAfterMs > 0);
+    LONGS_EQUAL(0, refused.mVersion);
+  }
+  SECTION("one that it knows is decided by its own version")
+  {
+    const auto admitted = ask({ 0, "lagos", std::nullopt });
+    CHECK(admitted.mIsAdmitted);
+    LONGS_EQUAL(5, admitted.mVersion);
+  }
+  SECTION("with the limit it is decided by the version that states it")
+  {
+    const auto admitted = ask({ 0, "jardins", stated_limit{ 6, { 20, 20 } } });
+    CHECK(admitted.mIsAdmitted);
+    LONGS_EQUAL(6, admitted.mVersion);
+  }
+  (*opened)->Close();
+}
--- a/tests/sharing/test_sharing.cpp
+++ b/tests/sharing/test_sharing.cpp
@@ -237,6 +237,84 @@
   }
 }
 
+TEST_GROUP(stated_limits){};
+
+// Guards against an owner that decides by an older version than the instance
+// that asks it, and against a limit that nobody states taken for none.
+TEST(stated_limits, TheLatestVersionThatHasTheOrganisationDecides)
+{
+  const quota_limit small{ 20, 20 };
+  const quota_limit large{ 100, 50 };
+  const configured_limit own{ 7, large };
+  const configured_limit unknown{ 7, std::nullopt };
+  stated_limits limits;
+  const auto decides = [&](const configured_limit& aOwn,
+                           const std::optional<stated_limit>& aSent) {
+    const auto latest = limits.Latest("lagos", aOwn, aSent);
+    return latest ? latest->mLimit.mRate : -1;
+  };
+
+  SECTION("without any statement there is no limit to admit by")
+  {
+    CHECK_FALSE(limits.Latest("lagos", unknown, std::nullopt).has_value());
+    CHECK_FALSE(
+      limits.Latest("lagos", configured_limit(), std::nullopt).has_value());
+  }
+  SECTION("an owner of the same version decides by its own")
+  {
+    DOUBLES_EQUAL(100, decides(own, stated_limit{ 7, small }), 1e-9);
+    DOUBLES_EQUAL(100, decides(own, std::nullopt), 1e-9);
+  }
+  SECTION("one that is ahead, too")
+  {
+    DOUBLES_EQUAL(100, decides(own, stated_limit{ 6, small }), 1e-9);
+  }
+  SECTION("one that is behind decides by what the asking instance knows")
+  {
+    DOUBLES_EQUAL(20, decides(own, stated_limit{ 8, small }), 1e-9);
+    DOUBLES_EQUAL(0, decides(own, stated_limit{ 8, {} }), 1e-9);
+  }
+  SECTION("one that lacks the organisation does, by any version")
+  {
+    DOUBLES_EQUAL(20, decides(unknown, stated_limit{ 8, small }), 1e-9);
+    DOUBLES_EQUAL(20, decides(unknown, stated_limit{ 6, small }), 1e-9);
+  }
+  SECTION("what is older than the own version is not learned")
+  {
+    CHECK_FALSE(limits.Learn("lagos", { 7, small }, own, kStart));
+    CHECK_FALSE(limits.Learned("lagos", own).has_value());
+  }
+  CHECK(limits.Learn("lagos", { 9, small }, own, kStart));
+  SECTION("a limit once learned holds for instances that are behind")
+  {
+    DOUBLES_EQUAL(20, decides(own, stated_limit{ 8, large }), 1e-9);
+    DOUBLES_EQUAL(20, decides(own, std::nullopt), 1e-9);
+    DOUBLES_EQUAL(20, decides(unknown, stated_limit{ 6, large }), 1e-9);
+  }
+  SECTION("an older one, or the same again, is no news")
+  {
+    CHECK_FALSE(limits.Learn("lagos", { 8, large }, own, kStart));
+    CHECK_FALSE(limits.Learn("lagos", { 9, small }, own, kStart));
+    DOUBLES_EQUAL(20, decides(own, std::nullopt), 1e-9);
+  }
+  SECTION("the own configuration takes over when it is as late")
+  {
+    CHECK_FALSE(limits.Learned("lagos", { 9, large }).has_value());
+    DOUBLES_EQUAL(100, decides({ 9, large }, stated_limit{ 8, small }), 1e-9);
+  }
+  SECTION("other organisations are not concerned")
+  {
+    CHECK_FALSE(limits.Latest("fiti", unknown, std::nullopt).has_value());
+  }
+  SECTION("it is forgotten when nobody sends it any more")
+  {
+    limits.Prune(kStart + 60s);
+    CHECK(limits.Learned("lagos", own).has_value());
+    limits.Prune(kStart + 121s);
+    CHECK_FALSE(limits.Learned("lagos", own).has_value());
+  }
+}
+
 TEST_GROUP(quota_holdings){};
 
 // Guards against two holders of one quota, and against a quota that stays with
@@ -444,6 +522,7 @@
       crash_report{ 77, "t2", false },
       load_report{ { { "t1", 3 }, { "t2", 0 } } },
       quota_request{ 5, "lagos" },
+      quota_request{ 5, "lagos", stated_limit{ 8, { 0.5, 12 } } },
       retry_request{ 6, "ledger", 9, 2 },
       owner_reply{ 5, true, 250 },
       target_limit_report{ "t1", 1'700'000'000'000, true, 1.4, 20, true },
@@ -483,6 +562,37 @@
     LONGS_EQUAL(300, handover.mState->mAdmitted[2]);
     LONGS_EQUAL(7, handover.mHeldBy.port());
   }
+  SECTION("a limit keeps its version, beside a question, a reply and a state")
+  {
+    const stated_limit limit{ 1'700, { 0.25, 12 } };
+    const auto isSame = [&](const std::optional<stated_limit>& aOther) {
+      return aOther && aOther->mVersion == limit.mVersion &&
+             aOther->mLimit.mRate == limit.mLimit.mRate &&
+             aOther->mLimit.mBurst == limit.mLimit.mBurst;
+    };
+    const auto decode = [](const peer_payload& aPayload) {
+      return DecodePeerMessage(EncodePeerMessage({ "i1", aPayload }))->mPayload;
+    };
+    CHECK(
+      isSame(std::get<quota_request>(decode(quota_request{ 5, "lagos", limit }))
+               .mLimit));
+    CHECK(isSame(
+      std::get<quota_handover>(
+        decode(quota_handover{ 9, quota_state{ 2.5, 30ms, { 1 } }, {}, limit }))
+        .mLimit));
+    LONGS_EQUAL(
+      1'700,
+      std::get<owner_reply>(decode(owner_reply{ 5, true, 0, 1'700 })).mVersion);
+  }
+  SECTION("messages of an earlier version state no limit and no version")
+  {
+    const auto question =
+      DecodePeerMessage(EncodeCbor({ 1, 4, "i1", 5, "lagos" }));
+    CHECK_FALSE(std::get<quota_request>(question->mPayload).mLimit.has_value());
+    const auto reply =
+      DecodePeerMessage(EncodeCbor({ 1, 6, "i1", 5, true, 250 }));
+    LONGS_EQUAL(0, std::get<owner_reply>(reply->mPayload).mVersion);
+  }
   SECTION("a part of changes keeps its place and any bytes")
   {
     const std::string bytes("\0\xff\x80", 3);
@@ -537,6 +647,14 @@
     CHECK_FALSE(DecodePeerMessage(EncodeCbor({ 2, 4, "i1", 5, "lagos" })));
     CHECK_FALSE(DecodePeerMessage(EncodeCbor({ 1, 4, "i1", "5", "lagos" })));
     CHECK_FALSE(DecodePeerMessage(EncodeCbor({ 1, 99, "i1", 5, "lagos" })));
+    CHECK_FALSE(DecodePeerMessage(EncodeCbor({ 1, 4, "i1", 5, "lagos", 8 })));
+    CHECK_FALSE(
+      DecodePeerMessage(EncodeCbor({ 1, 4, "i1", 5, "lagos", 8, 1, "2" })));
+    for (const double rate : { -1.0, static_cast<double>(NAN) }) {
+      CHECK_FALSE(DecodePeerMessage(EncodePeerMessage(
+        { "i1",
+          quota_request{ 5, "lagos", stated_limit{ 8, { rate, 1 } } } })));
+    }
     CHECK_FALSE(DecodePeerMessage(
       EncodePeerMessage({ "i1", send_permit_request{ 8, "t1", -1, 0 } })));
     CHECK_FALSE(DecodePeerMessage(
