An organisation whose limit cannot be read is left out

A rate or burst that is no number, negative or out of bounds counted as 0, and a rate of 0 means no limit, so an entry that could not be read lifted it.

A rate that is not there still means no limit.

--- a/tests/platform/test_entry_codec.cpp
+++ b/tests/platform/test_entry_codec.cpp
@@ -102,6 +102,29 @@
     LONGS_EQUAL(1, other->mOrganisations[0].mKeys.size());
     LONGS_EQUAL(1, skipped.size());
   }
+  SECTION(
+    "a limit that cannot be read is not none: its organisation is left out")
+  {
+    const auto organisations = [&](const std::string& aLimit) {
+      skipped.clear();
+      return DecodeConfiguration(
+               R"({"version":8,"routes":[],"tenants":[{"name":"lagos")" +
+                 aLimit + "}]}",
+               skipped)
+        ->mOrganisations;
+    };
+    for (const auto* limit :
+         { "", R"(,"rate-per-s":0)", R"(,"rate-per-s":2.5,"burst":0)" }) {
+      LONGS_EQUAL(1, organisations(limit).size());
+    }
+    for (const auto* field : { "rate-per-s", "burst" }) {
+      for (const auto* value : { "-1", "\"20\"", "null", "[]", "1e300" }) {
+        LONGS_EQUAL(
+          0, organisations(",\"" + std::string(field) + "\":" + value).size());
+        LONGS_EQUAL(1, skipped.size());
+      }
+    }
+  }
   SECTION("text that is not a configuration is an error")
   {
     for (const auto* text : { "",
