--- a/modules/proxy/fleet_evidence.cpp
+++ b/modules/proxy/fleet_evidence.cpp
@@ -17,6 +17,15 @@
 // An unchanged load is told again after this time; receivers forget it later.
 constexpr duration kLoadRepeat = 1s;
 
+// Questions of an instance that has started. Two are asked at once, since one
+// may be about to leave or a datagram may be lost.
+constexpr std::size_t kAskedAtOnce = 2;
+constexpr std::size_t kInquiryRounds = 5;
+constexpr duration kInquiryTimeout = 200ms;
+
+// Suspects in one answer; those with fewest crashes are left out.
+constexpr std::size_t kMostSuspectsSent = 240;
+
 /// Marks the message for receivers that pass it on.
 struct relay_marker
 {
@@ -166,9 +175,16 @@
 }
 
 void
-fleet_evidence::OnReport(const crash_report& aReport)
+fleet_evidence::OnReport(const crash_report& aReport, const udp_endpoint& aFrom)
 {
   const auto now = mScheduler.Now();
+  // One that was cut off or frozen has not heard of the earlier crashes.
+  if (const auto known = mCrashes.Blocked(aReport.mFingerprint, now)) {
+    crash_suspects suspects;
+    suspects.mIsInformed = mInquiry.IsInformed();
+    suspects.mSuspects = { *known };
+    mLink.Send(suspects, aFrom);
+  }
   mCrashes.OnCrash(aReport.mFingerprint,
                    aReport.mTarget,
                    now - std::chrono::milliseconds(aReport.mAgeMs),
@@ -258,17 +274,85 @@
 }
 
 void
-fleet_evidence::RequestLimits()
+fleet_evidence::OnReport(const std::string& aSender,
+                         const crash_suspects& aReport)
 {
+  if (aReport.mScheme != kFingerprintScheme) {
+    return;
+  }
   const auto now = mScheduler.Now();
-  auto peers = mMembers.ZonePeers(now);
-  if (peers.empty()) {
-    peers = mMembers.OtherZoneRelays(++mTurn, now);
-  }
-  // Two, since one may be about to leave or the datagram lost.
-  for (std::size_t i = 0; i < std::min<std::size_t>(2, peers.size()); ++i) {
-    const auto index = (mTurn + i) % peers.size();
-    mLink.Send(target_limits_request{ ++mTurn }, peers[index]->mAddress);
+  std::size_t blocked = 0;
+  for (const auto& suspect : aReport.mSuspects) {
+    const bool wasBlocked = mCrashes.IsBlocked(suspect.mRequest, now);
+    mCrashes.Merge(suspect, now);
+    blocked += !wasBlocked && mCrashes.IsBlocked(suspect.mRequest, now) ? 1 : 0;
+  }
+  if (blocked > 0) {
+    mMetrics.Counter("cowslipline_crash_suspects_learned_total").Add(blocked);
+    Log(log_level::Info,
+        "crash_suspects_learned",
+        { { "peer", aSender }, { "blocked", std::to_string(blocked) } });
+  }
+  const bool wasAnswered = mInquiry.IsAnswered();
+  mInquiry.OnAnswerPart(
+    aSender, aReport.mIndex, aReport.mCount, aReport.mIsInformed);
+  if (!wasAnswered && mInquiry.IsAnswered()) {
+    mIsInquiryAnswered.Set();
+  }
+}
+
+std::vector<udp_endpoint>
+fleet_evidence::MembersToAsk()
+{
+  const auto now = mScheduler.Now();
+  std::vector<udp_endpoint> addresses;
+  for (const auto& members :
+       { mMembers.ZonePeers(now), mMembers.OtherZoneRelays(++mTurn, now) }) {
+    for (const auto* member : members) {
+      addresses.push_back(member->mAddress);
+    }
+  }
+  return addresses;
+}
+
+void
+fleet_evidence::LearnFromOthers(yield_context aYield)
+{
+  for (std::size_t round = 0; round < kInquiryRounds; ++round) {
+    const auto members = MembersToAsk();
+    for (std::size_t i = 0; i < std::min(kAskedAtOnce, members.size()); ++i) {
+      const auto index = (round * kAskedAtOnce + i) % members.size();
+      mLink.Send(target_limits_request{ ++mTurn, true }, members[index]);
+    }
+    if (members.empty()) {
+      break;
+    }
+    mIsInquiryAnswered.Wait(mScheduler, kInquiryTimeout, aYield);
+    if (mInquiry.IsAnswered()) {
+      return;
+    }
+  }
+  Log(log_level::Info, "start_not_informed", {});
+  mInquiry.GiveUp();
+}
+
+void
+fleet_evidence::OnRequest(const target_limits_request& aRequest,
+                          const udp_endpoint& aFrom)
+{
+  SendLimits(aFrom);
+  if (aRequest.mWantsSuspects) {
+    SendSuspects(aFrom);
+  }
+}
+
+void
+fleet_evidence::SendSuspects(const udp_endpoint& aTo)
+{
+  auto known = mCrashes.Suspects(mScheduler.Now());
+  known.resize(std::min(known.size(), kMostSuspectsSent));
+  for (const auto& part : PartsOf(std::move(known), mInquiry.IsInformed())) {
+    mLink.Send(part, aTo);
   }
 }
 
--- a/modules/proxy/fleet_evidence.h
+++ b/modules/proxy/fleet_evidence.h
@@ -39,15 +39,20 @@
 
   /// A message of another instance.
   void OnReport(const std::string& aSender, const target_report& aReport);
-  void OnReport(const crash_report& aReport);
+  /// aFrom: the instance that sent or passed on the report.
+  void OnReport(const crash_report& aReport, const udp_endpoint& aFrom);
+  void OnReport(const std::string& aSender, const crash_suspects& aReport);
   void OnReport(const suspicion_cleared& aReport);
   void OnReport(const std::string& aSender, const load_report& aReport);
   void OnReport(const std::string& aSender, const target_limit_report& aReport);
 
-  /// Asks other instances for the limits of targets, once at the start.
-  void RequestLimits();
-  /// Sends all known limits to an instance that has started.
-  void SendLimits(const udp_endpoint& aTo);
+  /// Asks other instances for what happened before the start of this one: the
+  /// limits of targets, and which requests crash them. Returns when one has
+  /// answered, or nobody can.
+  void LearnFromOthers(yield_context aYield);
+  /// Answers an instance that has started.
+  void OnRequest(const target_limits_request& aRequest,
+                 const udp_endpoint& aFrom);
 
   /// Tells the zone which targets this instance's requests are at, when that
   /// has changed or was not told for a second.
@@ -64,6 +69,10 @@
                exchange_outcome aOutcome,
                duration aAge,
                const std::string& aSeenBy);
+  /// Members to ask at the start, those of the own zone first.
+  std::vector<udp_endpoint> MembersToAsk();
+  void SendLimits(const udp_endpoint& aTo);
+  void SendSuspects(const udp_endpoint& aTo);
   void Spread(peer_payload aPayload, bool aIsToRelay);
   void LogLimit(const target_limit_report& aReport,
                 limit_change aChange,
@@ -77,6 +86,8 @@
   poison_request_detector& mCrashes;
   target_rate_limits& mLimits;
   metrics& mMetrics;
+  start_inquiry mInquiry;
+  event mIsInquiryAnswered;
   std::uint64_t mTurn = 0; ///< Spreads the relays over the other zones.
   /// What it lists and the next report lacks is sent as zero.
   load_report mLastLoad;
--- a/modules/proxy/proxy_instance.cpp
+++ b/modules/proxy/proxy_instance.cpp
@@ -173,8 +173,7 @@
   mScheduler.Spawn([this](yield_context aYield) { RegisterOnceReady(aYield); });
   mScheduler.Spawn([this](yield_context aYield) { RunHousekeeping(aYield); });
   mScheduler.Spawn([this](yield_context aYield) { RunLoadReports(aYield); });
-  mScheduler.Spawn(
-    [this](yield_context aYield) { RequestLimitsOnceReady(aYield); });
+  mScheduler.Spawn([this](yield_context aYield) { LearnOnceReady(aYield); });
 }
 
 configured_limit
@@ -259,7 +258,11 @@
     }
     void operator()(const crash_report& aReport) const
     {
-      mInstance.mReports.OnReport(aReport);
+      mInstance.mReports.OnReport(aReport, mFrom);
+    }
+    void operator()(const crash_suspects& aReport) const
+    {
+      mInstance.mReports.OnReport(mMessage.mSender, aReport);
     }
     void operator()(const suspicion_cleared& aReport) const
     {
@@ -285,9 +288,9 @@
     {
       mInstance.mReports.OnReport(mMessage.mSender, aReport);
     }
-    void operator()(const target_limits_request&) const
+    void operator()(const target_limits_request& aRequest) const
     {
-      mInstance.mReports.SendLimits(mFrom);
+      mInstance.mReports.OnRequest(aRequest, mFrom);
     }
     void operator()(const send_permit_request& aQuestion) const
     {
@@ -387,10 +390,10 @@
 }
 
 void
-proxy_instance::RequestLimitsOnceReady(yield_context aYield)
+proxy_instance::LearnOnceReady(yield_context aYield)
 {
   WaitForState(aYield);
-  mReports.RequestLimits();
+  mReports.LearnFromOthers(aYield);
 }
 
 void
--- a/modules/proxy/proxy_instance.h
+++ b/modules/proxy/proxy_instance.h
@@ -58,7 +58,7 @@
   /// Waits until the store has been read in full, or the instance stops.
   void WaitForState(yield_context aYield);
   void RegisterOnceReady(yield_context aYield);
-  void RequestLimitsOnceReady(yield_context aYield);
+  void LearnOnceReady(yield_context aYield);
   std::string RenderGauges() const;
 
   scheduler& mScheduler;
--- a/modules/sharing/peer_message.cpp
+++ b/modules/sharing/peer_message.cpp
@@ -37,6 +37,7 @@
   SlotRequest,
   SlotReply,
   SlotReturn,
+  CrashSuspects,
 };
 
 /// Not negative.
@@ -218,7 +219,31 @@
   return { kProtocolVersion,
            static_cast<int>(message_kind::TargetLimitsRequest),
            aSender,
-           aRequest.mId };
+           aRequest.mId,
+           aRequest.mWantsSuspects };
+}
+
+json
+Encode(const std::string& aSender, const crash_suspects& aSuspects)
+{
+  auto suspects = json::array();
+  for (const auto& suspect : aSuspects.mSuspects) {
+    auto targets = json::array();
+    for (const auto& [target, age] : suspect.mTargets) {
+      targets.push_back(target);
+      targets.push_back(MillisecondsOf(age));
+    }
+    suspects.push_back(
+      { suspect.mRequest, suspect.mCrashes, std::move(targets) });
+  }
+  return { kProtocolVersion,
+           static_cast<int>(message_kind::CrashSuspects),
+           aSender,
+           aSuspects.mScheme,
+           aSuspects.mIndex,
+           aSuspects.mCount,
+           aSuspects.mIsInformed,
+           std::move(suspects) };
 }
 
 json
@@ -468,6 +493,51 @@
   return request;
 }
 
+/// aSuspect: fingerprint, crashes, and the targets with the age of their last
+/// crash in ms.
+std::optional<crash_suspect>
+DecodeSuspect(const json& aSuspect)
+{
+  if (!aSuspect.is_array() || aSuspect.size() < 3 ||
+      !aSuspect[0].is_number_unsigned() || !aSuspect[1].is_number_unsigned() ||
+      !aSuspect[2].is_array()) {
+    return std::nullopt;
+  }
+  static constexpr std::uint64_t kMost =
+    std::numeric_limits<std::uint32_t>::max();
+  const auto bounded = [](const json& aNumber) {
+    return static_cast<std::uint32_t>(
+      std::min(aNumber.get<std::uint64_t>(), kMost));
+  };
+  crash_suspect suspect;
+  suspect.mRequest = aSuspect[0];
+  suspect.mCrashes = bounded(aSuspect[1]);
+  const auto& targets = aSuspect[2];
+  for (std::size_t i = 0; i + 1 < targets.size(); i += 2) {
+    if (!targets[i].is_string() || !targets[i + 1].is_number_unsigned()) {
+      return std::nullopt;
+    }
+    suspect.mTargets.emplace_back(
+      targets[i], std::chrono::milliseconds(bounded(targets[i + 1])));
+  }
+  return suspect;
+}
+
+/// The kinds of all fields have been checked, but not those of the suspects.
+result<peer_payload>
+DecodeSuspects(const json& aFields)
+{
+  crash_suspects suspects{ aFields[3], aFields[4], aFields[5], aFields[6], {} };
+  for (const auto& entry : aFields[7]) {
+    auto suspect = DecodeSuspect(entry);
+    if (!suspect) {
+      return Fail(errc::MessageMalformed);
+    }
+    suspects.mSuspects.push_back(std::move(*suspect));
+  }
+  return suspects;
+}
+
 result<peer_payload>
 DecodeSlotReturn(const json& aIds)
 {
@@ -599,7 +669,14 @@
       break;
     case message_kind::TargetLimitsRequest:
       if (isUnsigned(3)) {
-        return target_limits_request{ aFields[3] };
+        return target_limits_request{ aFields[3],
+                                      isBoolean(4) && aFields[4].get<bool>() };
+      }
+      break;
+    case message_kind::CrashSuspects:
+      if (isUnsigned(3) && isUnsigned(4) && isUnsigned(5) && isBoolean(6) &&
+          aFields.size() > 7 && aFields[7].is_array()) {
+        return DecodeSuspects(aFields);
       }
       break;
     case message_kind::SendPermitRequest:
@@ -642,8 +719,44 @@
   return Fail(errc::MessageMalformed);
 }
 
+/// Bytes of the suspect in a message, at most.
+std::size_t
+EncodedBytes(const crash_suspect& aSuspect)
+{
+  constexpr std::size_t kFixedBytes = 16;
+  constexpr std::size_t kBytesOfTarget = 9;
+  std::size_t bytes = kFixedBytes;
+  for (const auto& [target, age] : aSuspect.mTargets) {
+    bytes += target.size() + kBytesOfTarget;
+  }
+  return bytes;
+}
+
 } // namespace
 
+std::vector<crash_suspects>
+PartsOf(std::vector<crash_suspect> aSuspects, bool aIsInformed)
+{
+  // The rest of a packet of 1,452 bytes is for the sender's name.
+  constexpr std::size_t kBytesInPart = 1200;
+  std::vector<crash_suspects> parts(1);
+  std::size_t bytes = 0;
+  for (auto& suspect : aSuspects) {
+    bytes += EncodedBytes(suspect);
+    if (bytes > kBytesInPart && !parts.back().mSuspects.empty()) {
+      parts.emplace_back();
+      bytes = EncodedBytes(suspect);
+    }
+    parts.back().mSuspects.push_back(std::move(suspect));
+  }
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    parts[i].mIndex = static_cast<std::uint32_t>(i);
+    parts[i].mCount = static_cast<std::uint32_t>(parts.size());
+    parts[i].mIsInformed = aIsInformed;
+  }
+  return parts;
+}
+
 std::string
 EncodePeerMessage(const peer_message& aMessage)
 {
--- a/modules/sharing/peer_message.h
+++ b/modules/sharing/peer_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/result.h"
+#include "modules/placement/poison_request_detector.h"
 #include "modules/sharing/quota_bucket.h"
 #include "modules/sharing/stated_limits.h"
 
@@ -103,6 +104,23 @@
 struct target_limits_request
 {
   std::uint64_t mId = 0;
+  /// And for its crash_suspects; false from instances of an earlier version.
+  bool mWantsSuspects = false;
+};
+
+/// Requests that the sender suspects of crashing targets: a part of the reply
+/// to a target_limits_request, or a single one for an instance that has sent it
+/// to a target although it is blocked.
+struct crash_suspects
+{
+  /// How the sender computes a request_fingerprint. Those of another scheme
+  /// name other requests.
+  std::uint32_t mScheme = kFingerprintScheme;
+  std::uint32_t mIndex = 0; ///< Part of the reply, from 0.
+  std::uint32_t mCount = 0; ///< Parts of the reply; 0: no reply.
+  /// The sender knows what happened before its start.
+  bool mIsInformed = false;
+  std::vector<crash_suspect> mSuspects;
 };
 
 /// Asks the owner of a limited target for a permit to send to it once.
@@ -255,7 +273,8 @@
                                   store_lost_notice,
                                   slot_request,
                                   slot_reply,
-                                  slot_return>;
+                                  slot_return,
+                                  crash_suspects>;
 
 /// A payload and the name of the instance that sent it.
 struct peer_message
@@ -264,6 +283,12 @@
   peer_payload mPayload;
 };
 
+/// The parts of a reply with these suspects, each of which fits into one packet
+/// of a network unless a single suspect does not. An empty list makes one part,
+/// which says that there are none.
+std::vector<crash_suspects>
+PartsOf(std::vector<crash_suspect> aSuspects, bool aIsInformed);
+
 /// Encodes as a CBOR array: protocol version, message kind, sender, then the
 /// fields of the kind.
 std::string
--- a/modules/sharing/sharing.h
+++ b/modules/sharing/sharing.h
@@ -8,4 +8,5 @@
 #include "modules/sharing/peer_message.h"
 #include "modules/sharing/quota_bucket.h"
 #include "modules/sharing/quota_holdings.h"
+#include "modules/sharing/start_inquiry.h"
 #include "modules/sharing/stated_limits.h"
--- a/tests/placement/test_placement.cpp
+++ b/tests/placement/test_placement.cpp
@@ -352,6 +352,98 @@
   }
 }
 
+// Guards against crashes that are counted twice, or not at all, when instances
+// tell each other what they know.
+TEST(poison_request_detector, MergesWhatAnotherInstanceKnows)
+{
+  poison_request_detector known;
+  known.OnCrash(42, "t1", kStart - 1s, kStart);
+  known.OnCrash(42, "t2", kStart, kStart + 1s);
+  known.OnCrash(7, "t1", kStart - 1s, kStart);
+  const auto now = kStart + 3s;
+  const auto mergeAll = [&](poison_request_detector& aTo) {
+    for (const auto& suspect : known.Suspects(now)) {
+      aTo.Merge(suspect, now);
+    }
+  };
+
+  SECTION("two crashes do not block, a third one does")
+  {
+    poison_request_detector started;
+    mergeAll(started);
+    mergeAll(started);
+    CHECK_FALSE(started.IsBlocked(42, now));
+    started.OnCrash(42, "t3", now, now + 1s);
+    CHECK(started.IsBlocked(42, now + 1s));
+    CHECK_FALSE(started.IsBlocked(7, now + 1s));
+  }
+  SECTION("a report of a crash that was told counts once")
+  {
+    poison_request_detector started;
+    mergeAll(started);
+    started.OnCrash(42, "t2", kStart, now);
+    CHECK_FALSE(started.IsBlocked(42, now));
+  }
+  SECTION("a crash that only this instance saw counts beside those told")
+  {
+    poison_request_detector started;
+    started.OnCrash(42, "t1", kStart + 2s, now);
+    mergeAll(started);
+    CHECK(started.IsBlocked(42, now));
+  }
+  known.OnCrash(42, "t1", kStart + 2s, now);
+  SECTION("a block ends when it does at the other instance")
+  {
+    poison_request_detector started;
+    mergeAll(started);
+    CHECK(started.IsBlocked(42, now + 59s));
+    CHECK_FALSE(started.IsBlocked(42, now + 61s));
+    CHECK(started.Blocked(42, now).has_value());
+    CHECK_FALSE(started.Blocked(7, now).has_value());
+  }
+  SECTION("the block after that is longer, as there")
+  {
+    poison_request_detector started;
+    mergeAll(started);
+    started.OnCrash(42, "t9", now + 70s, now + 71s);
+    CHECK(started.IsBlocked(42, now + 71s + 119s));
+  }
+  SECTION("what is told of a crash long ago is forgotten as there")
+  {
+    poison_request_detector started;
+    started.Merge({ 42, 3, { { "t1", 1300s } } }, now);
+    CHECK_FALSE(started.IsBlocked(42, now));
+    started.Prune(now);
+    LONGS_EQUAL(0, started.Suspects(now).size());
+  }
+  SECTION("a suspect without a target, and any number, do no harm")
+  {
+    poison_request_detector started;
+    started.Merge({ 42, 3, {} }, now);
+    LONGS_EQUAL(0, started.Suspects(now).size());
+    started.Merge({ 42, 0xffffffff, { { "t1", 0s } } }, now);
+    CHECK(started.IsBlocked(42, now + 959s));
+    CHECK_FALSE(started.IsBlocked(42, now + 961s));
+  }
+  SECTION("those with most crashes come first, with their latest targets")
+  {
+    for (int i = 0; i < 20; ++i) {
+      known.OnCrash(
+        42, "u" + std::to_string(i), now + i * 1s, now + i * 1s + 1s);
+    }
+    const auto suspects = known.Suspects(now + 20s);
+    LONGS_EQUAL(2, suspects.size());
+    LONGS_EQUAL(42, suspects[0].mRequest);
+    LONGS_EQUAL(23, suspects[0].mCrashes);
+    LONGS_EQUAL(4, suspects[0].mTargets.size());
+    STRCMP_EQUAL("u19", suspects[0].mTargets[0].first.c_str());
+    poison_request_detector started;
+    started.Merge(suspects[0], now + 20s);
+    started.Merge(suspects[0], now + 20s);
+    LONGS_EQUAL(23, started.Suspects(now + 20s)[0].mCrashes);
+  }
+}
+
 // Guards against a poison request that is never blocked because the few targets
 // of its service come back under their ids.
 TEST(poison_request_detector, CountsEachCrashOfATargetThatCameBack)
--- a/tests/sharing/test_sharing.cpp
+++ b/tests/sharing/test_sharing.cpp
@@ -315,6 +315,47 @@
   }
 }
 
+TEST_GROUP(start_inquiry){};
+
+// Guards against an instance that takes the empty answer of one that has just
+// started itself for the whole, or a part of an answer.
+TEST(start_inquiry, IsAnsweredByAWholeAnswerOfAnInformedInstance)
+{
+  start_inquiry inquiry;
+  CHECK_FALSE(inquiry.IsInformed());
+  SECTION("one that has just started itself informs nobody")
+  {
+    inquiry.OnAnswerPart("i2", 0, 1, false);
+    CHECK_FALSE(inquiry.IsAnswered());
+  }
+  SECTION("parts of different answers make no whole one")
+  {
+    inquiry.OnAnswerPart("i3", 0, 2, true);
+    inquiry.OnAnswerPart("i3", 0, 2, true);
+    inquiry.OnAnswerPart("i4", 1, 2, true);
+    CHECK_FALSE(inquiry.IsAnswered());
+  }
+  SECTION("what is no part of an answer is passed over")
+  {
+    inquiry.OnAnswerPart("i3", 0, 0, true);
+    inquiry.OnAnswerPart("i3", 7, 2, true);
+    CHECK_FALSE(inquiry.IsAnswered());
+  }
+  SECTION("all parts of one do")
+  {
+    inquiry.OnAnswerPart("i3", 1, 2, true);
+    CHECK(inquiry.IsAnswered());
+    CHECK(inquiry.IsInformed());
+  }
+  SECTION("one that nobody could inform knows all that is left")
+  {
+    start_inquiry alone;
+    alone.GiveUp();
+    CHECK_FALSE(alone.IsAnswered());
+    CHECK(alone.IsInformed());
+  }
+}
+
 TEST_GROUP(quota_holdings){};
 
 // Guards against two holders of one quota, and against a quota that stays with
@@ -527,6 +568,8 @@
       owner_reply{ 5, true, 250 },
       target_limit_report{ "t1", 1'700'000'000'000, true, 1.4, 20, true },
       target_limits_request{ 7 },
+      target_limits_request{ 7, true },
+      crash_suspects{ 1, 0, 1, true, { { 77, 3, { { "t1", 5s } } } } },
       send_permit_request{ 8, "t1", 1.4, 2 },
       send_permit_request{ 8, "t1", 1.4, 2, 13.5 },
       suspicion_cleared{ 77, true },
@@ -593,6 +636,56 @@
       DecodePeerMessage(EncodeCbor({ 1, 6, "i1", 5, true, 250 }));
     LONGS_EQUAL(0, std::get<owner_reply>(reply->mPayload).mVersion);
   }
+  SECTION("suspects keep their crashes and the ages of these")
+  {
+    const auto decoded = DecodePeerMessage(EncodePeerMessage(
+      { "i1",
+        crash_suspects{
+          9,
+          1,
+          2,
+          true,
+          { { ~0ULL, 5, { { "t1", 1500ms }, { "t2", -1s } } } } } }));
+    const auto& suspects = std::get<crash_suspects>(decoded->mPayload);
+    LONGS_EQUAL(9, suspects.mScheme);
+    LONGS_EQUAL(1, suspects.mIndex);
+    LONGS_EQUAL(2, suspects.mCount);
+    CHECK(suspects.mIsInformed);
+    const auto& suspect = suspects.mSuspects.at(0);
+    CHECK(suspect.mRequest == ~0ULL);
+    LONGS_EQUAL(5, suspect.mCrashes);
+    STRCMP_EQUAL("t1", suspect.mTargets.at(0).first.c_str());
+    CHECK(suspect.mTargets.at(0).second == 1500ms);
+    CHECK(suspect.mTargets.at(1).second == 0ms);
+  }
+  SECTION("many suspects go into parts of one packet each, none into one")
+  {
+    std::vector<crash_suspect> many(
+      100,
+      { ~0ULL,
+        0xffffffff,
+        std::vector<std::pair<std::string, duration>>(
+          4, { std::string(40, 't'), 1200s }) });
+    std::size_t sent = 0;
+    const auto parts = PartsOf(many, true);
+    for (const auto& part : parts) {
+      LONGS_EQUAL(parts.size(), part.mCount);
+      LONGS_EQUAL(&part - parts.data(), part.mIndex);
+      sent += part.mSuspects.size();
+      CHECK(EncodePeerMessage({ std::string(80, 'n'), part }).size() <= 1452);
+    }
+    LONGS_EQUAL(100, sent);
+    const auto none = PartsOf({}, false);
+    LONGS_EQUAL(1, none.size());
+    LONGS_EQUAL(1, none[0].mCount);
+    CHECK_FALSE(none[0].mIsInformed);
+  }
+  SECTION("a question of an earlier version asks for no suspects")
+  {
+    const auto question = DecodePeerMessage(EncodeCbor({ 1, 10, "i1", 5 }));
+    CHECK_FALSE(
+      std::get<target_limits_request>(question->mPayload).mWantsSuspects);
+  }
   SECTION("a part of changes keeps its place and any bytes")
   {
     const std::string bytes("\0\xff\x80", 3);
@@ -647,6 +740,11 @@
     CHECK_FALSE(DecodePeerMessage(EncodeCbor({ 2, 4, "i1", 5, "lagos" })));
     CHECK_FALSE(DecodePeerMessage(EncodeCbor({ 1, 4, "i1", "5", "lagos" })));
     CHECK_FALSE(DecodePeerMessage(EncodeCbor({ 1, 99, "i1", 5, "lagos" })));
+    for (const auto* suspect :
+         { "7", "[7,3]", "[7,3,\"t\"]", "[7,-3,[]]", "[7,3,[4,5]]" }) {
+      CHECK_FALSE(DecodePeerMessage(EncodeCbor(
+        { 1, 21, "i1", 1, 0, 1, true, { nlohmann::json::parse(suspect) } })));
+    }
     CHECK_FALSE(DecodePeerMessage(EncodeCbor({ 1, 4, "i1", 5, "lagos", 8 })));
     CHECK_FALSE(
       DecodePeerMessage(EncodeCbor({ 1, 4, "i1", 5, "lagos", 8, 1, "2" })));
