Crashes of a request count for all services of its route together

Cause: the fingerprint by which a request is known again contained the service that this attempt was given.

Change: it contains the host of the route in place of the service, so that a version which moves the route does not clear the request either. The scheme of fingerprints is 2; instances of an earlier version count for themselves.

The test failed before: poison_requests.AreTheSameForEachServiceOfARoute, "expected <3> but was <8>" crashes in nine repeats.

--- a/modules/placement/poison_request_detector.h
+++ b/modules/placement/poison_request_detector.h
@@ -13,13 +13,13 @@
 
 namespace cowslipline {
 
-/// Hash of service, organisation, method, path and body. Repetitions of a
-/// request have the same value.
+/// Hash of host, organisation, method, path and body. Repetitions of a request
+/// have the same value, whichever service of its route they go to.
 using request_fingerprint = std::uint64_t;
 
 /// Number of the way in which request_fingerprint is computed. To be raised
 /// with every change of it.
-inline constexpr std::uint32_t kFingerprintScheme = 1;
+inline constexpr std::uint32_t kFingerprintScheme = 2;
 
 /// What an instance knows of a request that was at work in targets as they
 /// crashed. Times are ages, since clocks differ.
--- a/modules/proxy/request_handler.cpp
+++ b/modules/proxy/request_handler.cpp
@@ -233,10 +233,7 @@
   }
   const std::string organisation =
     mOrganisation == nullptr ? std::string() : mOrganisation->mName;
-  mFingerprint =
-    Hash64(mRequest.mBody,
-           Hash64(mService + '\n' + organisation + '\n' +
-                  mRequest.mHead.mMethod + '\n' + mRequest.mHead.mTarget));
+  mFingerprint = FingerprintOf(organisation);
   if (mServices.mCrashes.IsBlocked(mFingerprint, mServices.mScheduler.Now())) {
     return Refuse(502, refusal_cause::CrashesTargets);
   }
@@ -310,6 +307,17 @@
   }
 }
 
+request_fingerprint
+request_handler::FingerprintOf(const std::string& aOrganisation) const
+{
+  // Without the service: one that crashes the targets of a part of the route's
+  // split crashes those of the others.
+  const auto& head = mRequest.mHead;
+  return Hash64(mRequest.mBody,
+                Hash64(mRoute->mHost + '\n' + aOrganisation + '\n' +
+                       head.mMethod + '\n' + head.mTarget));
+}
+
 int
 request_handler::Priority() const
 {
--- a/modules/proxy/request_handler.h
+++ b/modules/proxy/request_handler.h
@@ -64,6 +64,8 @@
   /// the send is for if it is not the first.
   refusal_cause StartAttempt(yield_context aYield, retry_use aUse);
   void FinishAttempt(const std::shared_ptr<attempt>& aAttempt);
+  /// Before the body has been moved to mTargetRequest.
+  request_fingerprint FingerprintOf(const std::string& aOrganisation) const;
   /// 0 is the most urgent.
   int Priority() const;
   bool MayRepeat() const;
--- a/tests/proxy/test_poison_requests.cpp
+++ b/tests/proxy/test_poison_requests.cpp
@@ -179,3 +179,23 @@
   LONGS_EQUAL(kCrashesToBlock, targets.CrashesOf(*fixture.mInstance, 4));
   LONGS_EQUAL(1, targets.CrashesOf(second, 3));
 }
+
+// Guards against a request that crashes three targets of each service over
+// which its route is split, and three more when a version moves the route.
+TEST(poison_requests, AreTheSameForEachServiceOfARoute)
+{
+  edge_fixture fixture;
+  auto configuration = fixture.Configuration(5);
+  auto& route = configuration.mRoutes.at(1);
+  route.mShares = { { "north", 1 }, { "south", 1 }, { "east", 1 } };
+  fixture.mFeed.Publish(configuration);
+  crashing_targets targets(
+    fixture, { "north", "south", "east", "north", "south", "east", "west" });
+  LONGS_EQUAL(kCrashesToBlock, targets.CrashesOf(*fixture.mInstance, 9));
+
+  configuration.mVersion = 6;
+  route.mShares = { { "west", 1 } };
+  fixture.mFeed.Publish(configuration);
+  fixture.Pause(200ms);
+  LONGS_EQUAL(0, targets.CrashesOf(*fixture.mInstance, 2));
+}
