Instances that start together ask different members

The members to ask began with the first of the own zone, so all that start after a kill of the zone asked the same two, and the other zones only after ten of the own, which know nothing themselves then.

Change: the first one asked depends on the own name, and members of other zones take turns with those of the own.

Test: poison_requests.AreNotForgottenWhenInstancesStart plays an instance of another zone, too; it passes before and after, since a zone of one has others to ask in both.

--- a/modules/proxy/fleet_evidence.cpp
+++ b/modules/proxy/fleet_evidence.cpp
@@ -1,5 +1,6 @@
 #include "modules/proxy/fleet_evidence.h"
 
+#include "core/hash.h"
 #include "core/log.h"
 
 #include <algorithm>
@@ -305,11 +306,22 @@
 fleet_evidence::MembersToAsk()
 {
   const auto now = mScheduler.Now();
+  auto peers = mMembers.ZonePeers(now);
+  auto relays = mMembers.OtherZoneRelays(++mTurn, now);
+  if (!peers.empty()) {
+    // Instances that start together do not all ask the same one.
+    const auto first = Hash64(mMembers.Self().mName) % peers.size();
+    std::rotate(peers.begin(),
+                peers.begin() + static_cast<std::ptrdiff_t>(first),
+                peers.end());
+  }
+  // In turn, since all of the own zone may have started together.
   std::vector<udp_endpoint> addresses;
-  for (const auto& members :
-       { mMembers.ZonePeers(now), mMembers.OtherZoneRelays(++mTurn, now) }) {
-    for (const auto* member : members) {
-      addresses.push_back(member->mAddress);
+  for (std::size_t i = 0; i < std::max(peers.size(), relays.size()); ++i) {
+    for (const auto* members : { &peers, &relays }) {
+      if (i < members->size()) {
+        addresses.push_back((*members)[i]->mAddress);
+      }
     }
   }
   return addresses;
--- a/modules/proxy/fleet_evidence.h
+++ b/modules/proxy/fleet_evidence.h
@@ -69,7 +69,7 @@
                exchange_outcome aOutcome,
                duration aAge,
                const std::string& aSeenBy);
-  /// Members to ask at the start, those of the own zone first.
+  /// Members to ask at the start, of the own zone and of others in turn.
   std::vector<udp_endpoint> MembersToAsk();
   void SendLimits(const udp_endpoint& aTo);
   void SendSuspects(const udp_endpoint& aTo);
--- a/tests/proxy/edge_fixture.cpp
+++ b/tests/proxy/edge_fixture.cpp
@@ -249,10 +249,11 @@
 }
 
 proxy_instance&
-edge_fixture::AddInstance(const std::string& aName)
+edge_fixture::AddInstance(const std::string& aName, const std::string& aZone)
 {
   auto settings = mSettings;
   settings.mInstance = aName;
+  settings.mAvailabilityZone = aZone;
   auto created = proxy_instance::Create(
     mScheduler, settings, TestHeaders(), mFeed, Hash64(aName));
   CHECK(created.has_value());
--- a/tests/proxy/edge_fixture.h
+++ b/tests/proxy/edge_fixture.h
@@ -64,8 +64,9 @@
                              const std::string& aService,
                              scripted_target::script aScript);
 
-  /// One more instance of the fleet, in the zone of the first.
-  proxy_instance& AddInstance(const std::string& aName);
+  /// One more instance of the fleet, in the zone of the first if none is given.
+  proxy_instance& AddInstance(const std::string& aName,
+                              const std::string& aZone = "a");
 
   /// Runs the function as a task until it returns; fails the test after 20 s.
   void Run(const std::function<void(yield_context)>& aTask);
--- a/tests/proxy/test_poison_requests.cpp
+++ b/tests/proxy/test_poison_requests.cpp
@@ -141,6 +141,10 @@
   {
     LONGS_EQUAL(0, targets.CrashesOf(second, 2));
   }
+  SECTION("the first of another zone, too")
+  {
+    LONGS_EQUAL(0, targets.CrashesOf(fixture.AddInstance("j1", "b"), 2));
+  }
   auto& third = fixture.AddInstance("i3");
   SECTION("after a restart of all in turn, by one that was told itself")
   {
