--- a/tests/proxy/test_quota_owners.cpp
+++ b/tests/proxy/test_quota_owners.cpp
@@ -231,47 +231,42 @@
 // instances that ask it.
 TEST(quota_owners, DecideByTheNewestVersionThatTheyAndTheirAskersKnow)
 {
-  SECTION("an owner behind that does not know the organisation")
-  {
-    edge_fixture fixture;
-    auto older = fixture.Configuration(3);
-    older.mOrganisations[0].mName = "jardins";
-    const auto most = MostServedWithOwnerAt(fixture, older);
-    CHECK(most <= kAllowed);
-    CHECK(most >= kRate);
-  }
-  SECTION("an owner behind that knows of no organisation")
-  {
-    edge_fixture fixture;
-    auto older = fixture.Configuration(3);
-    older.mOrganisations.clear();
-    const auto most = MostServedWithOwnerAt(fixture, older);
-    CHECK(most <= kAllowed);
-    CHECK(most >= kRate);
-  }
-  SECTION("an owner behind by whose version there is no limit")
-  {
-    edge_fixture fixture;
-    const auto most =
-      MostServedWithOwnerAt(fixture, divided_fleet::Limited(fixture, 3, 0));
-    CHECK(most <= kAllowed);
-    CHECK(most >= kRate);
-  }
-  SECTION("an owner behind by whose version the limit is higher")
-  {
-    edge_fixture fixture;
-    const auto most = MostServedWithOwnerAt(
-      fixture, divided_fleet::Limited(fixture, 3, 10 * kRate));
-    CHECK(most <= kAllowed);
-    CHECK(most >= kRate);
-  }
-  SECTION("an owner behind by whose version the limit is lower")
-  {
-    edge_fixture fixture;
-    const auto most =
-      MostServedWithOwnerAt(fixture, divided_fleet::Limited(fixture, 3, 1));
-    CHECK(most <= kAllowed);
-    CHECK(most >= kRate);
+  const auto lacking = [](std::uint64_t aVersion) {
+    return [aVersion](const edge_fixture& aFixture) {
+      auto configuration = aFixture.Configuration(aVersion);
+      configuration.mOrganisations[0].mName = "jardins";
+      return configuration;
+    };
+  };
+  const auto limited = [](double aRate) {
+    return [aRate](const edge_fixture& aFixture) {
+      return divided_fleet::Limited(aFixture, 3, aRate);
+    };
+  };
+  const std::vector<
+    std::pair<const char*,
+              std::function<fleet_configuration(const edge_fixture&)>>>
+    owners = {
+      { "behind, without the organisation", lacking(3) },
+      { "behind, without any organisation",
+        [](const edge_fixture& aFixture) {
+          auto configuration = aFixture.Configuration(3);
+          configuration.mOrganisations.clear();
+          return configuration;
+        } },
+      { "behind, without a limit", limited(0) },
+      { "behind, with a higher limit", limited(10 * kRate) },
+      { "behind, with a lower limit", limited(1) },
+      { "ahead, where the organisation is gone", lacking(5) },
+    };
+  for (const auto& [name, configure] : owners) {
+    SECTION(name)
+    {
+      edge_fixture fixture;
+      const auto most = MostServedWithOwnerAt(fixture, configure(fixture));
+      CHECK(most <= kAllowed);
+      CHECK(most >= kRate);
+    }
   }
   SECTION("an owner ahead by whose version the limit is lower")
   {
@@ -281,15 +276,6 @@
     // (5 x 2 + 50) x 1.1 + 20.
     CHECK(most <= 86);
   }
-  SECTION("an owner ahead in whose version the organisation is gone")
-  {
-    edge_fixture fixture;
-    auto newer = fixture.Configuration(5);
-    newer.mOrganisations[0].mName = "jardins";
-    const auto most = MostServedWithOwnerAt(fixture, newer);
-    CHECK(most <= kAllowed);
-    CHECK(most >= kRate);
-  }
   SECTION("an owner behind whose own callers send, too")
   {
     edge_fixture fixture;
